Recall the loans of an earlier life before an entry uses its own slots

Cause: an entry that was killed or restarted forgot which of its slots it had lent, and used them after its quarantine of 1 s while borrowers still did. Ruled out: clock differences (loans count from the question's sending), a wrong assignment (the unit test adds up all entries' slots). Change: a started entry asks every peer what it holds of its slots; idle loans end there, used ones are noted here; the owned slots rest until each peer has answered, refuses connections, or no loan can be alive any more.

--- a/include/guavaline/admission/slots.hpp
+++ b/include/guavaline/admission/slots.hpp
@@ -115,6 +115,20 @@
 /// @returns false where it is not known or belongs to another entry
 bool EndLent(SlotTable& aTable, std::uint64_t aId, const std::string& aPeer);
 
+/// Ends the borrowed loans of a lender that has started anew, as far as they
+/// are idle.
+/// @returns the loans that are still in use; they end by themselves
+[[nodiscard]] std::vector<Loan> RecallBorrowed(SlotTable& aTable,
+                                               const std::string& aLender,
+                                               TimePoint aNow);
+
+/// Notes a loan that an earlier life of this entry gave.
+/// @param aLeft  time until it ends at the borrower
+void RestoreLent(SlotTable& aTable, Loan aLoan, TimePoint aNow, Millis aLeft);
+
+/// @returns the longest time that a loan of a service may last
+[[nodiscard]] Millis LoanTerm(const Service& aService) noexcept;
+
 /// Takes out borrowed loans whose slots are all idle and not needed.
 [[nodiscard]] std::vector<Loan> TakeIdleBorrowed(SlotTable& aTable,
                                                  TimePoint aNow);
--- a/src/admission/slots.cpp
+++ b/src/admission/slots.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace guavaline {
 namespace {
@@ -11,6 +12,8 @@
 constexpr double kPercent = 100;
 // Time for a target to see that a borrower closed a connection.
 constexpr Millis kReclaimMargin{ 500 };
+// Loans outlast the longest deadline, so that any request fits into one.
+constexpr int kDeadlinesPerLoan = 2;
 
 struct Owners
 {
@@ -95,6 +98,32 @@
   return n;
 }
 
+bool IsIdle(const SlotTable& aTable, const Loan& aLoan, TimePoint aNow)
+{
+  return std::all_of(aLoan.mSlots.begin(), aLoan.mSlots.end(),
+                     [&](const SlotCount& a) {
+                       return UsableSlots(aTable, a.mTarget, aNow, aNow) >=
+                              aTable.mInUse[a.mTarget] + a.mCount;
+                     });
+}
+
+/// Takes out the borrowed loans that are idle and match.
+template<class Matches>
+std::vector<Loan> TakeIdle(SlotTable& aTable, TimePoint aNow, Matches aMatches)
+{
+  std::vector<Loan> out;
+  auto& loans = aTable.mBorrowed;
+  for (auto it = loans.begin(); it != loans.end();) {
+    if (aMatches(*it) && IsIdle(aTable, *it, aNow)) {
+      out.push_back(std::move(*it));
+      it = loans.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return out;
+}
+
 void Renumber(std::vector<Loan>& aLoans, const std::vector<int>& aRenumbered)
 {
   for (auto& loan : aLoans) {
@@ -262,22 +291,34 @@
 
 std::vector<Loan> TakeIdleBorrowed(SlotTable& aTable, TimePoint aNow)
 {
+  return TakeIdle(aTable, aNow, [](const Loan&) { return true; });
+}
+
+std::vector<Loan> RecallBorrowed(SlotTable& aTable, const std::string& aLender,
+                                 TimePoint aNow)
+{
+  const auto from = [&](const Loan& a) { return a.mPeer == aLender; };
+  (void)TakeIdle(aTable, aNow, from);
   std::vector<Loan> out;
-  auto& loans = aTable.mBorrowed;
-  for (auto it = loans.begin(); it != loans.end();) {
-    const bool idle =
-      std::all_of(it->mSlots.begin(), it->mSlots.end(), [&](const auto& a) {
-        return UsableSlots(aTable, a.mTarget, aNow, aNow) >=
-               aTable.mInUse[a.mTarget] + a.mCount;
-      });
-    if (idle) {
-      out.push_back(std::move(*it));
-      it = loans.erase(it);
-    } else {
-      ++it;
-    }
-  }
+  std::copy_if(aTable.mBorrowed.begin(), aTable.mBorrowed.end(),
+               std::back_inserter(out), from);
   return out;
 }
 
+void RestoreLent(SlotTable& aTable, Loan aLoan, TimePoint aNow, Millis aLeft)
+{
+  aLoan.mExpiry = aNow + aLeft + kReclaimMargin;
+  aTable.mNextLoan = std::max(aTable.mNextLoan, aLoan.mId + 1);
+  aTable.mLent.push_back(std::move(aLoan));
+}
+
+Millis LoanTerm(const Service& aService) noexcept
+{
+  Millis longest{ 1'000 };
+  for (const auto& it : aService.mClasses) {
+    longest = std::max(longest, it.mDeadline);
+  }
+  return longest * kDeadlinesPerLoan;
+}
+
 } // namespace guavaline
--- a/src/codec/described.hpp
+++ b/src/codec/described.hpp
@@ -197,9 +197,9 @@
       return;
     }
     aOut.clear();
-    for (const auto& [key, value] : aValue.get_object()) {
-      const std::string name(key);
-      aReader.Within(name, [&] { Read(value, aOut[name], aReader); });
+    for (const auto& it : aValue.get_object()) {
+      const std::string name(it.key());
+      aReader.Within(name, [&] { Read(it.value(), aOut[name], aReader); });
     }
   } else if constexpr (IsOptional<T>::value) {
     Read(aValue, aOut.emplace(), aReader);
@@ -215,8 +215,6 @@
     if (n) {
       aOut = static_cast<T>(*n);
     }
-  } else if constexpr (std::same_as<T, BitRate>) {
-    ReadScalar(aValue, aOut, aReader);
   } else if constexpr (DescribedStruct<T>) {
     ReadStruct(aValue, aOut, aReader);
   } else {
@@ -248,8 +246,6 @@
       EnumeratorName(boost::describe::enum_to_string(aValue, "")));
   } else if constexpr (std::integral<T> && !std::same_as<T, bool>) {
     return json::value(static_cast<std::int64_t>(aValue));
-  } else if constexpr (std::same_as<T, BitRate>) {
-    return WriteScalar(aValue);
   } else if constexpr (DescribedStruct<T>) {
     json::object out;
     boost::mp11::mp_for_each<MembersOf<T>>([&](auto aMember) {
--- a/src/daemon/adoption.cpp
+++ b/src/daemon/adoption.cpp
@@ -1,5 +1,6 @@
 #include "daemon/adoption.hpp"
 
+#include "daemon/loans.hpp"
 #include "daemon/log.hpp"
 #include "peers/messages.hpp"
 
@@ -7,6 +8,9 @@
 #include <guavaline/configuration/questionnaire.hpp>
 #include <guavaline/core/hash.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 
 namespace guavaline::detail {
@@ -22,6 +26,7 @@
 constexpr Millis kUnwatchedStep{ 1'000 };
 constexpr Millis kHostListPeriod{ 2'000 };
 constexpr Millis kFetchTimeout{ 2'000 };
+constexpr Millis kLoanMargin{ 500 };
 
 /// For each new target index the old one, by name; -1 for new targets.
 std::vector<int> Renumbering(const Service& aOld, const Service& aNew)
@@ -52,10 +57,12 @@
 {
   auto& state = aNode.mServices[aService.mName];
   state.mService = aService;
-  const auto quarantine = aNode.mAccepted.mConfiguration.mSlotQuarantine;
+  // Rest until loans of an earlier life are recalled, or have all ended.
+  const auto rest = std::max(aNode.mAccepted.mConfiguration.mSlotQuarantine,
+                             LoanTerm(aService) + kLoanMargin);
   state.mSlots = MakeSlotTable(
     AssignSlots(aNode.mAccepted.mConfiguration, aService, aNode.mSelf.mEntry),
-    aNow + quarantine);
+    aNow + rest);
   state.mHealth.assign(aService.mTargets.size(), TargetHealth{});
   return state;
 }
@@ -188,6 +195,9 @@
   SetMembers(aNode.mView, aNode.mAccepted.mConfiguration, now);
   UpdateServices(aNode, now);
   UpdateLinks(aNode, now);
+  if (first) {
+    asio::co_spawn(aNode.mContext, RecallLoans(aNode), asio::detached);
+  }
   Log(LogLevel::Info, "configuration_in_force",
       { { "version", std::to_string(aVersion) }, { "source", aSource } });
   return true;
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -16,6 +16,9 @@
 
 constexpr Millis kBorrowTimeout{ 500 };
 constexpr Millis kBorrowPause{ 100 };
+constexpr Millis kRecallTimeout{ 500 };
+constexpr Millis kRecallPause{ 50 };
+constexpr const char* kConnectionRefused = "Connection refused";
 constexpr Millis kReturnPeriod{ 1'000 };
 constexpr Millis kKeepWanted{ 2'000 };
 constexpr std::uint32_t kLeastWant = 2;
@@ -24,16 +27,6 @@
 /// Part of the idle slots that a lender keeps, as a divisor.
 constexpr std::uint32_t kKeepDivisor = 4;
 
-/// Loans outlast the longest deadline twice, so that any request fits.
-Millis LoanTerm(const Service& aService)
-{
-  Millis longest{ 1'000 };
-  for (const auto& it : aService.mClasses) {
-    longest = std::max(longest, it.mDeadline);
-  }
-  return longest * 2;
-}
-
 std::uint32_t OwnedIn(const ServiceState& aState, const std::string& aRegion)
 {
   std::uint32_t n = 0;
@@ -73,6 +66,52 @@
   return near;
 }
 
+/// True for a loan given before the lender started anew and recalled it.
+bool IsOfEarlierLife(const Node& aNode, const std::string& aLender,
+                     std::uint64_t aIncarnation)
+{
+  const auto it = aNode.mRecalledBy.find(aLender);
+  return it != aNode.mRecalledBy.end() && it->second != aIncarnation;
+}
+
+void Restore(Node& aNode, const std::string& aPeer,
+             const RecallMessage& aMessage)
+{
+  const auto now = Clock::now();
+  for (const auto& it : aMessage.mLoans) {
+    const auto state = aNode.mServices.find(it.mService);
+    if (state != aNode.mServices.end()) {
+      RestoreLent(state->second.mSlots, { it.mId, aPeer, it.mSlots, {} }, now,
+                  it.mLeft);
+    }
+  }
+}
+
+/// @returns true where a peer holds no loan that is not known here now
+asio::awaitable<bool> RecallFrom(Node& aNode, std::string aPeer)
+{
+  const RecallQuestion question{ aNode.mSelf.mEntry, aNode.mSelf.mNumber };
+  const auto reply = co_await CallEntry(aNode, aPeer, kRecallCall,
+                                        ToJson(question), kRecallTimeout);
+  RecallMessage message;
+  if (reply.mBody && FromJson(*reply.mBody, message).empty()) {
+    const bool sameIndices = message.mVersion == aNode.mAccepted.mVersion;
+    if (sameIndices) {
+      Restore(aNode, aPeer, message);
+    }
+    co_return sameIndices || message.mLoans.empty();
+  }
+  // Where no process listens, nobody holds a loan.
+  co_return reply.mError.mReason == kConnectionRefused;
+}
+
+void UseOwnedFrom(Node& aNode, TimePoint aTime)
+{
+  for (auto& [name, state] : aNode.mServices) {
+    state.mSlots.mUsableFrom = std::min(state.mSlots.mUsableFrom, aTime);
+  }
+}
+
 asio::awaitable<bool> BorrowFrom(Node& aNode, std::string aLender,
                                  BorrowQuestion aQuestion)
 {
@@ -83,7 +122,8 @@
   BorrowMessage message;
   if (!reply.mBody || !FromJson(*reply.mBody, message).empty() ||
       message.mSlots.empty() || it == aNode.mServices.end() ||
-      aNode.mAccepted.mVersion != aQuestion.mVersion) {
+      aNode.mAccepted.mVersion != aQuestion.mVersion ||
+      IsOfEarlierLife(aNode, aLender, message.mLender)) {
     co_return false;
   }
   Borrow(it->second.mSlots, { message.mId, aLender, message.mSlots, {} }, asked,
@@ -187,6 +227,58 @@
   }
 }
 
+asio::awaitable<void> RecallLoans(Node& aNode)
+{
+  const auto started = Clock::now();
+  const auto& configuration = aNode.mAccepted.mConfiguration;
+  Millis longest = configuration.mSlotQuarantine;
+  std::vector<std::string> peers;
+  for (const auto& it : configuration.mServices) {
+    longest = std::max(longest, LoanTerm(it));
+  }
+  for (const auto& it : configuration.mEntries) {
+    if (it.mName != aNode.mSelf.mEntry) {
+      peers.push_back(it.mName);
+    }
+  }
+  while (!peers.empty() && Clock::now() < started + longest) {
+    std::vector<std::string> left;
+    for (const auto& it : peers) {
+      const bool done = co_await RecallFrom(aNode, it);
+      if (!done) {
+        left.push_back(it);
+      }
+    }
+    peers = std::move(left);
+    co_await Sleep(aNode, kRecallPause);
+  }
+  UseOwnedFrom(
+    aNode, std::max(Clock::now(),
+                    started + aNode.mAccepted.mConfiguration.mSlotQuarantine));
+  Log(LogLevel::Info, "loans_recalled",
+      { { "unanswered", std::to_string(peers.size()) } });
+}
+
+std::string AnswerRecall(Node& aNode, const std::string& aBody)
+{
+  RecallQuestion question;
+  RecallMessage message;
+  if (!FromJson(aBody, question).empty()) {
+    return "{}";
+  }
+  const auto now = Clock::now();
+  aNode.mRecalledBy[question.mLender] = question.mIncarnation;
+  message.mVersion = aNode.mAccepted.mVersion;
+  for (auto& [name, state] : aNode.mServices) {
+    for (const auto& it : RecallBorrowed(state.mSlots, question.mLender, now)) {
+      const auto left = std::chrono::ceil<Millis>(it.mExpiry - now);
+      message.mLoans.push_back(
+        { name, it.mId, std::max(left, Millis(0)), it.mSlots });
+    }
+  }
+  return ToJson(message);
+}
+
 std::string AnswerBorrow(Node& aNode, const std::string& aBody)
 {
   BorrowQuestion question;
@@ -208,7 +300,7 @@
   const auto loan =
     Lend(state.mSlots, state.mService, question.mBorrower, question.mRegion,
          std::min(question.mWant, kMostWant), keep, Clock::now(), term);
-  message = { loan.mId, term, loan.mSlots };
+  message = { aNode.mSelf.mNumber, loan.mId, term, loan.mSlots };
   return ToJson(message);
 }
 
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -17,6 +17,14 @@
 /// Gives idle loans back; runs until the process stops.
 boost::asio::awaitable<void> ReturnIdleLoans(Node& aNode);
 
+/// Asks every peer what an earlier life of this entry lent to it. The owned
+/// slots rest until each has answered, is known to run no process, or cannot
+/// hold a loan any longer.
+boost::asio::awaitable<void> RecallLoans(Node& aNode);
+
+/// Answers a peer that has started anew.
+[[nodiscard]] std::string AnswerRecall(Node& aNode, const std::string& aBody);
+
 /// Answers a peer that asks for slots.
 [[nodiscard]] std::string AnswerBorrow(Node& aNode, const std::string& aBody);
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -113,6 +113,9 @@
   std::map<std::string, ServiceState> mServices;
   std::map<std::string, LinkBudget> mLinks; ///< By other region.
   CrasherTable mCrashers;
+  /// Latest incarnation that recalled its loans, by entry; loans of earlier
+  /// ones are not taken any more.
+  std::map<std::string, std::uint64_t> mRecalledBy;
   Metrics mMetrics;
 
   HttpClient mTargetClient;
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/forward.hpp"
 
+#include "codec/described.hpp"
 #include "daemon/log.hpp"
 #include "forwarding/exchange.hpp"
 #include "forwarding/flights.hpp"
@@ -13,6 +14,14 @@
 
 namespace asio = boost::asio;
 
+/// Body of a refusal.
+struct RefusalBody
+{
+  std::string mRan;
+  std::string mReason;
+};
+BOOST_DESCRIBE_STRUCT(RefusalBody, (), (mRan, mReason))
+
 namespace {
 
 constexpr const char* kRetryAfterSeconds = "1";
@@ -118,8 +127,7 @@
 HttpResponse Refusal(unsigned aStatus, const char* aRan,
                      const std::string& aReason)
 {
-  auto out = JsonResponse(aStatus, std::string("{\"ran\":\"") + aRan +
-                                     "\",\"reason\":\"" + aReason + "\"}");
+  auto out = JsonResponse(aStatus, ToJson(RefusalBody{ aRan, aReason }));
   out.mHeaders.push_back({ kRanHeader, aRan });
   out.mHeaders.push_back({ kReasonHeader, aReason });
   if (aStatus == 503) {
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -254,7 +254,6 @@
   : mNode(&aNode)
   , mService(std::move(aService))
   , mTarget(aNode.mServices[mService].mService.mTargets[aTarget])
-  , mLinger(false)
 {
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/intrusive/list.hpp>
+#include <boost/json.hpp>
 
 namespace guavaline::detail {
 
@@ -44,7 +45,8 @@
 
 HttpResponse Refuse(unsigned aStatus, const std::string& aReason)
 {
-  auto out = JsonResponse(aStatus, "{\"reason\":\"" + aReason + "\"}");
+  auto out = JsonResponse(aStatus, boost::json::serialize(boost::json::object{
+                                     { "ran", "no" }, { "reason", aReason } }));
   out.mHeaders.push_back({ "Guavaline-Ran", "no" });
   return out;
 }
--- a/src/operator/commands.cpp
+++ b/src/operator/commands.cpp
@@ -166,7 +166,10 @@
   if (present && ReadConfiguration(aOutPath, *present, old).empty()) {
     ShowLines(Differences(old, configuration), aOut);
   }
-  BOOST_LEAF_CHECK(WriteFile(aOutPath, ToYaml(configuration)));
+  auto written = WriteFile(aOutPath, ToYaml(configuration));
+  if (!written) {
+    return written.error();
+  }
   aOut << "wrote " << aOutPath << '\n';
   return ExitCode::Done;
 }
@@ -273,7 +276,10 @@
       }
     }
     const auto file = aDirectory + "/" + it.mName + ".yaml";
-    BOOST_LEAF_CHECK(WriteFile(file, SettingsYaml(settings)));
+    auto written = WriteFile(file, SettingsYaml(settings));
+    if (!written) {
+      return written.error();
+    }
     aOut << "wrote " << file << '\n';
   }
   return ExitCode::Done;
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -26,6 +26,7 @@
 inline constexpr const char* kResolveCall = "resolve";
 inline constexpr const char* kBorrowCall = "borrow";
 inline constexpr const char* kReturnCall = "return";
+inline constexpr const char* kRecallCall = "recall";
 
 /// Asks for the configuration if it is newer than a version.
 struct ConfigurationQuestion
@@ -67,6 +68,7 @@
 
 struct BorrowMessage
 {
+  std::uint64_t mLender = 0; ///< Incarnation of the lender.
   std::uint64_t mId = 0;
   Millis mTerm{ 0 };
   std::vector<SlotCount> mSlots;
@@ -80,13 +82,38 @@
   std::uint64_t mId = 0;
 };
 
+/// A started entry asks what its earlier life lent.
+struct RecallQuestion
+{
+  std::string mLender;
+  std::uint64_t mIncarnation = 0; ///< Of the life that asks.
+};
+
+/// A loan that is still in use at the borrower.
+struct RecalledLoan
+{
+  std::string mService;
+  std::uint64_t mId = 0;
+  Millis mLeft{ 0 };
+  std::vector<SlotCount> mSlots;
+};
+
+struct RecallMessage
+{
+  std::uint64_t mVersion = 0; ///< Target indices hold for this version.
+  std::vector<RecalledLoan> mLoans;
+};
+
+BOOST_DESCRIBE_STRUCT(RecallQuestion, (), (mLender, mIncarnation))
+BOOST_DESCRIBE_STRUCT(RecalledLoan, (), (mService, mId, mLeft, mSlots))
+BOOST_DESCRIBE_STRUCT(RecallMessage, (), (mVersion, mLoans))
 BOOST_DESCRIBE_STRUCT(ConfigurationQuestion, (), (mAbove))
 BOOST_DESCRIBE_STRUCT(ConfigurationMessage, (), (mVersion, mConfiguration))
 BOOST_DESCRIBE_STRUCT(ResolveQuestion, (), (mIdentity, mAsked, mAsker))
 BOOST_DESCRIBE_STRUCT(ResolveMessage, (), (mVerdict, mOutcome, mHolder))
 BOOST_DESCRIBE_STRUCT(BorrowQuestion, (),
                       (mBorrower, mVersion, mService, mRegion, mWant))
-BOOST_DESCRIBE_STRUCT(BorrowMessage, (), (mId, mTerm, mSlots))
+BOOST_DESCRIBE_STRUCT(BorrowMessage, (), (mLender, mId, mTerm, mSlots))
 BOOST_DESCRIBE_STRUCT(ReturnMessage, (), (mBorrower, mService, mId))
 
 } // namespace detail
--- a/src/peers/peer_session.cpp
+++ b/src/peers/peer_session.cpp
@@ -9,7 +9,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cstring>
 
 namespace guavaline::detail {
 
@@ -135,7 +134,7 @@
   {
     auto& stream = *static_cast<PeerStream*>(aSource->ptr);
     const auto n = std::min(aLength, stream.mToSend.size() - stream.mSent);
-    std::memcpy(aBuffer, stream.mToSend.data() + stream.mSent, n);
+    std::copy_n(stream.mToSend.data() + stream.mSent, n, aBuffer);
     stream.mSent += n;
     if (stream.mSent == stream.mToSend.size()) {
       *aFlags |= NGHTTP2_DATA_FLAG_EOF;
--- a/tests/unit/slots_test.cpp
+++ b/tests/unit/slots_test.cpp
@@ -148,3 +148,22 @@
   cr_assert_eq(table.mInUse[0], 1U);
   cr_assert_eq(table.mInUse[1], 0U);
 }
+
+Test(slots, a_started_lender_learns_what_its_earlier_life_lent)
+{
+  auto borrower = MakeSlotTable({ 0, 0 }, kNow);
+  Borrow(borrower, { 1, "a", { { 0, 2 } }, {} }, kNow, 20s);
+  Borrow(borrower, { 2, "a", { { 1, 1 } }, {} }, kNow, 20s);
+  cr_assert(TakeSlot(borrower, 0, kNow, kNow + 1s));
+  const auto used = RecallBorrowed(borrower, "a", kNow + 1s);
+  // The idle loan has ended; the other goes on.
+  cr_assert_eq(used.size(), 1U);
+  cr_assert_eq(used[0].mId, 1U);
+  cr_assert_eq(FreeSlots(borrower, 1, kNow + 1s, kNow + 2s), 0U);
+  auto lender = MakeSlotTable({ 3, 3 }, kNow);
+  RestoreLent(lender, { 1, "b", used[0].mSlots, {} }, kNow + 1s, 19s);
+  cr_assert_eq(FreeSlots(lender, 0, kNow + 2s, kNow + 3s), 1U);
+  cr_assert_eq(FreeSlots(lender, 1, kNow + 2s, kNow + 3s), 3U);
+  cr_assert_eq(FreeSlots(lender, 0, kNow + 21s, kNow + 22s), 3U);
+  cr_assert(EndLent(lender, 1, "b"));
+}
