Let slots follow the callers: single-slot loans, returns on demand, offers at a stop

Cause: loans stuck to their borrower for 20 s while the lender's own callers waited, and a stopping entry took its slots with it. Histories showed the refusals as 'full' on entries whose slots were lent or gone. Ruled out: too little capacity (0.4 of the slots expected in use), queue bounds (refused at the deadline, not on arrival). Change: a loan is one slot; a borrower that is asked gives idle loans of the asker back first; a lender keeps one slot; a stopping entry offers its slots to peers of the region while look-up answers expire; an entry answers a twentieth of the limit before its caller gives up. A slot that each lender keeps leaves 1 of 9 idle per region.

--- a/include/guavaline/admission/slots.hpp
+++ b/include/guavaline/admission/slots.hpp
@@ -9,6 +9,7 @@
 #include <guavaline/core/time.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,19 +30,12 @@
                                      const Service& aService,
                                      const std::string& aEntry);
 
-/// Some slots of one target.
-struct SlotCount
-{
-  std::uint32_t mTarget = 0; ///< Index into the service's targets.
-  std::uint32_t mCount = 0;
-};
-
-/// Slots lent or borrowed until a time.
+/// One slot lent or borrowed until a time.
 struct Loan
 {
   std::uint64_t mId = 0;
-  std::string mPeer; ///< The other entry.
-  std::vector<SlotCount> mSlots;
+  std::string mPeer;         ///< The other entry.
+  std::uint32_t mTarget = 0; ///< Index into the service's targets.
   TimePoint mExpiry;
 };
 
@@ -91,17 +85,21 @@
 /// Gives a slot back.
 void ReleaseSlot(SlotTable& aTable, std::uint32_t aTarget) noexcept;
 
-/// Lends idle owned slots to another entry.
-/// @param aPeer    the borrower
-/// @param aRegion  region whose slots are wanted
-/// @param aWant    how many
-/// @param aKeep    idle slots of the region that stay here
-/// @param aTerm    how long the loan lasts
-/// @returns the loan; its list is empty where nothing can be lent
-[[nodiscard]] Loan Lend(SlotTable& aTable, const Service& aService,
-                        const std::string& aPeer, const std::string& aRegion,
-                        std::uint32_t aWant, std::uint32_t aKeep,
-                        TimePoint aNow, Millis aTerm);
+/// What a borrower asks for.
+struct LendQuery
+{
+  std::string mPeer;   ///< The borrower.
+  std::string mRegion; ///< Region whose slots are wanted.
+  std::uint32_t mWant = 0;
+  std::uint32_t mKeep = 0; ///< Idle slots of the region that stay here.
+  Millis mTerm{ 0 };       ///< How long the loans last.
+};
+
+/// Lends idle owned slots to another entry; borrowed ones are not lent on.
+/// @returns one loan for each slot
+[[nodiscard]] std::vector<Loan> Lend(SlotTable& aTable,
+                                     const Service& aService,
+                                     const LendQuery& aQuery, TimePoint aNow);
 
 /// Notes a loan received.
 /// @param aAskedAt  when the request for it was sent; the term counts from
@@ -115,6 +113,14 @@
 /// @returns false where it is not known or belongs to another entry
 bool EndLent(SlotTable& aTable, std::uint64_t aId, const std::string& aPeer);
 
+/// Selects loans.
+using LoanFilter = std::function<bool(const Loan&)>;
+
+/// Takes out borrowed loans that are idle and selected, to be given back.
+[[nodiscard]] std::vector<Loan> TakeIdleBorrowed(SlotTable& aTable,
+                                                 TimePoint aNow,
+                                                 const LoanFilter& aFilter);
+
 /// Ends the borrowed loans of a lender that has started anew, as far as they
 /// are idle.
 /// @returns the loans that are still in use; they end by themselves
@@ -129,8 +135,4 @@
 /// @returns the longest time that a loan of a service may last
 [[nodiscard]] Millis LoanTerm(const Service& aService) noexcept;
 
-/// Takes out borrowed loans whose slots are all idle and not needed.
-[[nodiscard]] std::vector<Loan> TakeIdleBorrowed(SlotTable& aTable,
-                                                 TimePoint aNow);
-
 } // namespace guavaline
--- a/src/admission/slots.cpp
+++ b/src/admission/slots.cpp
@@ -86,59 +86,38 @@
 std::uint32_t CountFor(const std::vector<Loan>& aLoans, std::uint32_t aTarget,
                        TimePoint aUntil) noexcept
 {
-  std::uint32_t n = 0;
-  for (const auto& loan : aLoans) {
-    if (loan.mExpiry < aUntil) {
-      continue;
-    }
-    for (const auto& it : loan.mSlots) {
-      n += it.mTarget == aTarget ? it.mCount : 0;
-    }
-  }
-  return n;
-}
-
-bool IsIdle(const SlotTable& aTable, const Loan& aLoan, TimePoint aNow)
-{
-  return std::all_of(aLoan.mSlots.begin(), aLoan.mSlots.end(),
-                     [&](const SlotCount& a) {
-                       return UsableSlots(aTable, a.mTarget, aNow, aNow) >=
-                              aTable.mInUse[a.mTarget] + a.mCount;
-                     });
+  const auto n =
+    std::count_if(aLoans.begin(), aLoans.end(), [&](const Loan& a) {
+      return a.mTarget == aTarget && a.mExpiry >= aUntil;
+    });
+  return static_cast<std::uint32_t>(n);
 }
 
-/// Takes out the borrowed loans that are idle and match.
-template<class Matches>
-std::vector<Loan> TakeIdle(SlotTable& aTable, TimePoint aNow, Matches aMatches)
+void Renumber(std::vector<Loan>& aLoans, const std::vector<int>& aRenumbered)
 {
   std::vector<Loan> out;
-  auto& loans = aTable.mBorrowed;
-  for (auto it = loans.begin(); it != loans.end();) {
-    if (aMatches(*it) && IsIdle(aTable, *it, aNow)) {
-      out.push_back(std::move(*it));
-      it = loans.erase(it);
-    } else {
-      ++it;
+  for (auto& it : aLoans) {
+    const auto at = std::find(aRenumbered.begin(), aRenumbered.end(),
+                              static_cast<int>(it.mTarget));
+    if (at != aRenumbered.end()) {
+      it.mTarget = static_cast<std::uint32_t>(at - aRenumbered.begin());
+      out.push_back(std::move(it));
     }
   }
-  return out;
+  aLoans = std::move(out);
 }
 
-void Renumber(std::vector<Loan>& aLoans, const std::vector<int>& aRenumbered)
+/// @returns owned slots of a target that are idle and not lent
+std::uint32_t IdleOwned(const SlotTable& aTable, std::uint32_t aTarget,
+                        TimePoint aNow) noexcept
 {
-  for (auto& loan : aLoans) {
-    std::vector<SlotCount> slots;
-    for (const auto& it : loan.mSlots) {
-      const auto at = std::find(aRenumbered.begin(), aRenumbered.end(),
-                                static_cast<int>(it.mTarget));
-      if (at != aRenumbered.end()) {
-        const auto target =
-          static_cast<std::uint32_t>(at - aRenumbered.begin());
-        slots.push_back({ target, it.mCount });
-      }
-    }
-    loan.mSlots = std::move(slots);
+  if (aNow < aTable.mUsableFrom) {
+    return 0;
   }
+  const auto bound =
+    CountFor(aTable.mLent, aTarget, aNow) + aTable.mInUse[aTarget];
+  const auto owned = aTable.mUsableOwned[aTarget];
+  return owned > bound ? owned - bound : 0;
 }
 
 } // namespace
@@ -232,46 +211,37 @@
   --aTable.mInUse[aTarget];
 }
 
-Loan Lend(SlotTable& aTable, const Service& aService, const std::string& aPeer,
-          const std::string& aRegion, std::uint32_t aWant, std::uint32_t aKeep,
-          TimePoint aNow, Millis aTerm)
+std::vector<Loan> Lend(SlotTable& aTable, const Service& aService,
+                       const LendQuery& aQuery, TimePoint aNow)
 {
-  Loan out{ aTable.mNextLoan++, aPeer, {}, aNow + aTerm + kReclaimMargin };
-  // Idle owned slots only: a borrowed slot is never lent on.
-  std::vector<SlotCount> idle;
   std::uint32_t total = 0;
   for (std::uint32_t n = 0; n < aService.mTargets.size(); ++n) {
-    if (aService.mTargets[n].mRegion != aRegion || aNow < aTable.mUsableFrom) {
-      continue;
-    }
-    const auto bound =
-      aTable.mUsableOwned[n] -
-      std::min(aTable.mUsableOwned[n], CountFor(aTable.mLent, n, aNow));
-    if (bound > aTable.mInUse[n]) {
-      idle.push_back({ n, bound - aTable.mInUse[n] });
-      total += idle.back().mCount;
+    if (aService.mTargets[n].mRegion == aQuery.mRegion) {
+      total += IdleOwned(aTable, n, aNow);
     }
   }
-  std::uint32_t left = total > aKeep ? std::min(total - aKeep, aWant) : 0;
-  for (const auto& it : idle) {
-    const auto n = std::min(it.mCount, left);
-    if (n > 0) {
-      out.mSlots.push_back({ it.mTarget, n });
-      left -= n;
+  const auto spare = total > aQuery.mKeep ? total - aQuery.mKeep : 0;
+  const std::size_t count = std::min(spare, aQuery.mWant);
+  const auto expiry = aNow + aQuery.mTerm + kReclaimMargin;
+  std::vector<Loan> out;
+  for (std::uint32_t n = 0; n < aService.mTargets.size(); ++n) {
+    if (aService.mTargets[n].mRegion != aQuery.mRegion) {
+      continue;
+    }
+    while (out.size() < count && IdleOwned(aTable, n, aNow) > 0) {
+      out.push_back({ aTable.mNextLoan++, aQuery.mPeer, n, expiry });
+      aTable.mLent.push_back(out.back());
     }
-  }
-  if (!out.mSlots.empty()) {
-    aTable.mLent.push_back(out);
   }
   return out;
 }
 
 void Borrow(SlotTable& aTable, Loan aLoan, TimePoint aAskedAt, Millis aTerm)
 {
+  if (aLoan.mTarget >= aTable.mOwned.size()) {
+    return;
+  }
   aLoan.mExpiry = aAskedAt + aTerm;
-  std::erase_if(aLoan.mSlots, [&](const SlotCount& a) {
-    return a.mTarget >= aTable.mOwned.size();
-  });
   aTable.mBorrowed.push_back(std::move(aLoan));
 }
 
@@ -289,16 +259,29 @@
          }) > 0;
 }
 
-std::vector<Loan> TakeIdleBorrowed(SlotTable& aTable, TimePoint aNow)
+std::vector<Loan> TakeIdleBorrowed(SlotTable& aTable, TimePoint aNow,
+                                   const LoanFilter& aFilter)
 {
-  return TakeIdle(aTable, aNow, [](const Loan&) { return true; });
+  std::vector<Loan> out;
+  auto& loans = aTable.mBorrowed;
+  for (auto it = loans.begin(); it != loans.end();) {
+    const bool idle =
+      UsableSlots(aTable, it->mTarget, aNow, aNow) > aTable.mInUse[it->mTarget];
+    if (idle && aFilter(*it)) {
+      out.push_back(std::move(*it));
+      it = loans.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return out;
 }
 
 std::vector<Loan> RecallBorrowed(SlotTable& aTable, const std::string& aLender,
                                  TimePoint aNow)
 {
   const auto from = [&](const Loan& a) { return a.mPeer == aLender; };
-  (void)TakeIdle(aTable, aNow, from);
+  (void)TakeIdleBorrowed(aTable, aNow, from);
   std::vector<Loan> out;
   std::copy_if(aTable.mBorrowed.begin(), aTable.mBorrowed.end(),
                std::back_inserter(out), from);
--- a/src/daemon/adoption.cpp
+++ b/src/daemon/adoption.cpp
@@ -26,7 +26,6 @@
 constexpr Millis kUnwatchedStep{ 1'000 };
 constexpr Millis kHostListPeriod{ 2'000 };
 constexpr Millis kFetchTimeout{ 2'000 };
-constexpr Millis kLoanMargin{ 500 };
 
 /// For each new target index the old one, by name; -1 for new targets.
 std::vector<int> Renumbering(const Service& aOld, const Service& aNew)
@@ -59,7 +58,7 @@
   state.mService = aService;
   // Rest until loans of an earlier life are recalled, or have all ended.
   const auto rest = std::max(aNode.mAccepted.mConfiguration.mSlotQuarantine,
-                             LoanTerm(aService) + kLoanMargin);
+                             LongestLoan(aService));
   state.mSlots = MakeSlotTable(
     AssignSlots(aNode.mAccepted.mConfiguration, aService, aNode.mSelf.mEntry),
     aNow + rest);
--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -184,6 +184,9 @@
   if (aKind == kBorrowCall) {
     co_return AnswerBorrow(aNode, aBody);
   }
+  if (aKind == kOfferCall) {
+    co_return AnswerOffer(aNode, aBody);
+  }
   if (aKind == kRecallCall) {
     co_return AnswerRecall(aNode, aBody);
   }
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace guavaline::detail {
 
@@ -16,40 +17,62 @@
 
 constexpr Millis kBorrowTimeout{ 500 };
 constexpr Millis kBorrowPause{ 100 };
+constexpr Millis kReturnPeriod{ 500 };
+constexpr Millis kKeepWanted{ 1'000 };
 constexpr Millis kRecallTimeout{ 500 };
 constexpr Millis kRecallPause{ 50 };
-constexpr const char* kConnectionRefused = "Connection refused";
-constexpr Millis kReturnPeriod{ 1'000 };
-constexpr Millis kKeepWanted{ 2'000 };
-constexpr std::uint32_t kLeastWant = 2;
+/// A host is replaced within this time, or its slots stay idle.
+constexpr Millis kOfferTerm{ 120'000 };
+constexpr Millis kLoanMargin{ 500 };
+constexpr std::uint32_t kLeastWant = 1;
 constexpr std::uint32_t kMostWant = 16;
 constexpr std::size_t kLendersPerTry = 4;
-/// Part of the idle slots that a lender keeps, as a divisor.
+/// Part of the owned slots that a lender keeps while they are idle.
 constexpr std::uint32_t kKeepDivisor = 4;
+constexpr const char* kConnectionRefused = "Connection refused";
+
+ServiceState* FindState(Node& aNode, const std::string& aService)
+{
+  const auto it = aNode.mServices.find(aService);
+  return it == aNode.mServices.end() ? nullptr : &it->second;
+}
+
+const std::string& RegionOf(const ServiceState& aState, std::uint32_t aTarget)
+{
+  return aState.mService.mTargets[aTarget].mRegion;
+}
 
 std::uint32_t OwnedIn(const ServiceState& aState, const std::string& aRegion)
 {
   std::uint32_t n = 0;
-  for (std::size_t k = 0; k < aState.mService.mTargets.size(); ++k) {
-    if (aState.mService.mTargets[k].mRegion == aRegion) {
-      n += aState.mSlots.mUsableOwned[k];
-    }
+  for (std::uint32_t k = 0; k < aState.mService.mTargets.size(); ++k) {
+    n += RegionOf(aState, k) == aRegion ? aState.mSlots.mUsableOwned[k] : 0;
   }
   return n;
 }
 
-/// Entries that may lend, those of the region first as they own most.
-std::vector<std::string> Lenders(Node& aNode, const std::string& aRegion,
-                                 std::size_t aFirst)
+std::uint32_t LentIn(const ServiceState& aState, const std::string& aRegion)
+{
+  return static_cast<std::uint32_t>(std::count_if(
+    aState.mSlots.mLent.begin(), aState.mSlots.mLent.end(),
+    [&](const Loan& a) { return RegionOf(aState, a.mTarget) == aRegion; }));
+}
+
+bool Answers(const Node& aNode, const std::string& aEntry)
+{
+  const auto status = StatusOf(aNode.mView, aEntry, Clock::now());
+  return status == MemberStatus::Alive || status == MemberStatus::Leaving;
+}
+
+/// Entries that may lend: first those that hold slots of this entry, then
+/// those of the region, which own most, then all others.
+std::vector<std::string> Lenders(Node& aNode, const ServiceState& aState,
+                                 const std::string& aRegion, std::size_t aFirst)
 {
-  const auto now = Clock::now();
   std::vector<std::string> near;
   std::vector<std::string> far;
   for (const auto& it : aNode.mAccepted.mConfiguration.mEntries) {
-    const auto status = StatusOf(aNode.mView, it.mName, now);
-    const bool answers =
-      status == MemberStatus::Alive || status == MemberStatus::Leaving;
-    if (it.mName != aNode.mSelf.mEntry && answers) {
+    if (it.mName != aNode.mSelf.mEntry && Answers(aNode, it.mName)) {
       (it.mRegion == aRegion ? near : far).push_back(it.mName);
     }
   }
@@ -62,7 +85,16 @@
   turn(near);
   turn(far);
   near.insert(near.end(), far.begin(), far.end());
-  near.resize(std::min(near.size(), kLendersPerTry));
+  std::set<std::string> holders;
+  for (const auto& it : aState.mSlots.mLent) {
+    if (RegionOf(aState, it.mTarget) == aRegion) {
+      holders.insert(it.mPeer);
+    }
+  }
+  std::stable_partition(near.begin(), near.end(), [&](const std::string& a) {
+    return holders.count(a) > 0;
+  });
+  near.resize(std::min(near.size(), kLendersPerTry + holders.size()));
   return near;
 }
 
@@ -74,15 +106,111 @@
   return it != aNode.mRecalledBy.end() && it->second != aIncarnation;
 }
 
+std::vector<LentSlot> ToWire(const std::vector<Loan>& aLoans)
+{
+  std::vector<LentSlot> out;
+  for (const auto& it : aLoans) {
+    out.push_back({ it.mId, it.mTarget });
+  }
+  return out;
+}
+
+std::vector<std::uint64_t> IdsOf(const std::vector<Loan>& aLoans)
+{
+  std::vector<std::uint64_t> out;
+  for (const auto& it : aLoans) {
+    out.push_back(it.mId);
+  }
+  return out;
+}
+
+asio::awaitable<std::size_t> BorrowFrom(Node& aNode, std::string aLender,
+                                        BorrowQuestion aQuestion)
+{
+  const auto asked = Clock::now();
+  const auto reply = co_await CallEntry(aNode, aLender, kBorrowCall,
+                                        ToJson(aQuestion), kBorrowTimeout);
+  auto* state = FindState(aNode, aQuestion.mService);
+  BorrowMessage message;
+  if (!reply.mBody || !FromJson(*reply.mBody, message).empty() ||
+      state == nullptr || aNode.mAccepted.mVersion != aQuestion.mVersion ||
+      IsOfEarlierLife(aNode, aLender, message.mLender)) {
+    co_return 0;
+  }
+  for (const auto& it : message.mLoans) {
+    Borrow(state->mSlots, { it.mId, aLender, it.mTarget, {} }, asked,
+           message.mTerm);
+  }
+  for (const auto it : message.mReturned) {
+    EndLent(state->mSlots, it, aLender);
+  }
+  const auto n = message.mLoans.size() + message.mReturned.size();
+  if (n > 0) {
+    WakeWaiters(*state, aQuestion.mRegion);
+  }
+  co_return n;
+}
+
+asio::awaitable<void> BorrowSlots(Node& aNode, BorrowQuestion aQuestion,
+                                  std::vector<std::string> aLenders)
+{
+  const auto wanted = aQuestion.mWant;
+  std::size_t got = 0;
+  for (const auto& it : aLenders) {
+    aQuestion.mWant = wanted - static_cast<std::uint32_t>(got);
+    got += co_await BorrowFrom(aNode, it, aQuestion);
+    if (got >= wanted) {
+      break;
+    }
+  }
+  auto* state = FindState(aNode, aQuestion.mService);
+  if (state == nullptr) {
+    co_return;
+  }
+  auto& region = state->mRegions[aQuestion.mRegion];
+  region.mBorrowing = false;
+  region.mBorrowAfter = Clock::now() + (got > 0 ? Millis(0) : kBorrowPause);
+  if (got > 0 && !region.mQueue.empty()) {
+    WantSlots(aNode, aQuestion.mService, aQuestion.mRegion);
+  }
+}
+
+asio::awaitable<void> GiveBack(Node& aNode, std::string aLender,
+                               ReturnMessage aMessage)
+{
+  (void)co_await CallEntry(aNode, aLender, kReturnCall, ToJson(aMessage),
+                           kBorrowTimeout);
+}
+
+/// Gives back idle loans of regions whose slots were not short lately.
+void ReturnIdle(Node& aNode, const std::string& aService, ServiceState& aState,
+                TimePoint aNow)
+{
+  const auto spare = [&](const Loan& a) {
+    const auto& region = aState.mRegions[RegionOf(aState, a.mTarget)];
+    return aNow - region.mWanted >= kKeepWanted &&
+           StatusOf(aNode.mView, a.mPeer, aNow) == MemberStatus::Alive;
+  };
+  std::map<std::string, ReturnMessage> messages;
+  for (const auto& it : TakeIdleBorrowed(aState.mSlots, aNow, spare)) {
+    auto& message = messages[it.mPeer];
+    message.mBorrower = aNode.mSelf.mEntry;
+    message.mService = aService;
+    message.mIds.push_back(it.mId);
+  }
+  for (auto& [lender, message] : messages) {
+    asio::co_spawn(aNode.mContext, GiveBack(aNode, lender, std::move(message)),
+                   asio::detached);
+  }
+}
+
 void Restore(Node& aNode, const std::string& aPeer,
              const RecallMessage& aMessage)
 {
-  const auto now = Clock::now();
   for (const auto& it : aMessage.mLoans) {
-    const auto state = aNode.mServices.find(it.mService);
-    if (state != aNode.mServices.end()) {
-      RestoreLent(state->second.mSlots, { it.mId, aPeer, it.mSlots, {} }, now,
-                  it.mLeft);
+    if (auto* state = FindState(aNode, it.mService)) {
+      RestoreLent(state->mSlots, { it.mId, aPeer, it.mTarget, {} },
+                  Clock::now(), it.mLeft);
     }
   }
 }
@@ -105,99 +233,94 @@
   co_return reply.mError.mReason == kConnectionRefused;
 }
 
-void UseOwnedFrom(Node& aNode, TimePoint aTime)
+/// Peers to give slots of a region to: those of the region where there are
+/// any, as callers of the region turn to them.
+std::vector<std::string> Heirs(const Node& aNode, const std::string& aRegion)
 {
-  for (auto& [name, state] : aNode.mServices) {
-    state.mSlots.mUsableFrom = std::min(state.mSlots.mUsableFrom, aTime);
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const auto& it : aNode.mAccepted.mConfiguration.mEntries) {
+    if (it.mName != aNode.mSelf.mEntry &&
+        StatusOf(aNode.mView, it.mName, Clock::now()) == MemberStatus::Alive) {
+      (it.mRegion == aRegion ? near : far).push_back(it.mName);
+    }
   }
+  return near.empty() ? far : near;
 }
 
-asio::awaitable<bool> BorrowFrom(Node& aNode, std::string aLender,
-                                 BorrowQuestion aQuestion)
+/// Lends slots of one region to an heir.
+std::optional<OfferMessage> MakeOffer(Node& aNode, ServiceState& aState,
+                                      const std::string& aRegion,
+                                      const std::string& aHeir,
+                                      std::uint32_t aCount)
 {
-  const auto asked = Clock::now();
-  const auto reply = co_await CallEntry(aNode, aLender, kBorrowCall,
-                                        ToJson(aQuestion), kBorrowTimeout);
-  const auto it = aNode.mServices.find(aQuestion.mService);
-  BorrowMessage message;
-  if (!reply.mBody || !FromJson(*reply.mBody, message).empty() ||
-      message.mSlots.empty() || it == aNode.mServices.end() ||
-      aNode.mAccepted.mVersion != aQuestion.mVersion ||
-      IsOfEarlierLife(aNode, aLender, message.mLender)) {
-    co_return false;
-  }
-  Borrow(it->second.mSlots, { message.mId, aLender, message.mSlots, {} }, asked,
-         message.mTerm);
-  Log(LogLevel::Debug, "slots_borrowed",
-      { { "service", aQuestion.mService },
-        { "region", aQuestion.mRegion },
-        { "lender", aLender } });
-  for (std::uint32_t n = 0; n < aQuestion.mWant; ++n) {
-    WakeWaiters(it->second, aQuestion.mRegion);
-  }
-  co_return true;
-}
-
-asio::awaitable<void> BorrowSlots(Node& aNode, std::string aService,
-                                  std::string aRegion, std::uint32_t aWant,
-                                  std::size_t aFirst)
-{
-  const BorrowQuestion question{ aNode.mSelf.mEntry, aNode.mAccepted.mVersion,
-                                 aService, aRegion, aWant };
-  bool done = false;
-  for (const auto& it : Lenders(aNode, aRegion, aFirst)) {
-    done = co_await BorrowFrom(aNode, it, question);
-    if (done) {
-      break;
-    }
-  }
-  const auto it = aNode.mServices.find(aService);
-  if (it == aNode.mServices.end()) {
-    co_return;
-  }
-  auto& region = it->second.mRegions[aRegion];
-  region.mBorrowing = false;
-  region.mBorrowAfter = Clock::now() + (done ? Millis(0) : kBorrowPause);
-  if (done && !region.mQueue.empty()) {
-    WantSlots(aNode, aService, aRegion);
+  const auto loans =
+    Lend(aState.mSlots, aState.mService,
+         { aHeir, aRegion, aCount, 0, kOfferTerm }, Clock::now());
+  if (loans.empty()) {
+    return std::nullopt;
   }
+  return OfferMessage{
+    aNode.mSelf.mEntry,    aNode.mSelf.mNumber, aNode.mAccepted.mVersion,
+    aState.mService.mName, kOfferTerm,          ToWire(loans)
+  };
 }
 
-asio::awaitable<void> GiveBack(Node& aNode, std::string aService, Loan aLoan)
+asio::awaitable<void> SendOffer(Node& aNode, std::string aHeir,
+                                OfferMessage aMessage)
 {
-  const ReturnMessage message{ aNode.mSelf.mEntry, aService, aLoan.mId };
-  (void)co_await CallEntry(aNode, aLoan.mPeer, kReturnCall, ToJson(message),
+  // Where the answer is lost the slots count as lent until the loan ends.
+  (void)co_await CallEntry(aNode, aHeir, kOfferCall, ToJson(aMessage),
                            kBorrowTimeout);
 }
 
-bool WantedLately(const ServiceState& aState, TimePoint aNow)
+void OfferRegion(Node& aNode, ServiceState& aState, const std::string& aRegion,
+                 double aPart)
 {
-  return std::any_of(
-    aState.mRegions.begin(), aState.mRegions.end(),
-    [aNow](const auto& a) { return aNow - a.second.mWanted < kKeepWanted; });
+  const auto heirs = Heirs(aNode, aRegion);
+  const auto goal = static_cast<std::uint32_t>(
+    aPart * static_cast<double>(OwnedIn(aState, aRegion)));
+  for (auto lent = LentIn(aState, aRegion); lent < goal && !heirs.empty();
+       ++lent) {
+    const auto& heir = heirs[lent % heirs.size()];
+    auto offer = MakeOffer(aNode, aState, aRegion, heir, 1);
+    if (!offer) {
+      return;
+    }
+    asio::co_spawn(aNode.mContext, SendOffer(aNode, heir, std::move(*offer)),
+                   asio::detached);
+  }
 }
 
 } // namespace
 
+Millis LongestLoan(const Service& aService) noexcept
+{
+  return std::max(LoanTerm(aService), kOfferTerm) + kLoanMargin;
+}
+
 void WantSlots(Node& aNode, const std::string& aService,
                const std::string& aRegion)
 {
-  const auto it = aNode.mServices.find(aService);
-  if (it == aNode.mServices.end()) {
+  auto* state = FindState(aNode, aService);
+  if (state == nullptr) {
     return;
   }
   const auto now = Clock::now();
-  auto& region = it->second.mRegions[aRegion];
+  auto& region = state->mRegions[aRegion];
   region.mWanted = now;
   if (region.mBorrowing || now < region.mBorrowAfter) {
     return;
   }
   region.mBorrowing = true;
   const auto waiting = static_cast<std::uint32_t>(region.mQueue.size());
-  const auto want = std::clamp(waiting, kLeastWant, kMostWant);
+  const BorrowQuestion question{ aNode.mSelf.mEntry, aNode.mAccepted.mVersion,
+                                 aService, aRegion,
+                                 std::clamp(waiting, kLeastWant, kMostWant) };
   asio::co_spawn(
     aNode.mContext,
-    BorrowSlots(aNode, aService, aRegion, want, region.mNextLender++),
+    BorrowSlots(aNode, question,
+                Lenders(aNode, *state, aRegion, region.mNextLender++)),
     asio::detached);
 }
 
@@ -216,13 +339,7 @@
     const auto now = Clock::now();
     for (auto& [name, state] : aNode.mServices) {
       ExpireLoans(state.mSlots, now);
-      if (WantedLately(state, now)) {
-        continue;
-      }
-      for (auto& it : TakeIdleBorrowed(state.mSlots, now)) {
-        asio::co_spawn(aNode.mContext, GiveBack(aNode, name, std::move(it)),
-                       asio::detached);
-      }
+      ReturnIdle(aNode, name, state, now);
     }
   }
 }
@@ -231,10 +348,11 @@
 {
   const auto started = Clock::now();
   const auto& configuration = aNode.mAccepted.mConfiguration;
-  Millis longest = configuration.mSlotQuarantine;
+  const auto quarantine = configuration.mSlotQuarantine;
+  Millis longest = quarantine;
   std::vector<std::string> peers;
   for (const auto& it : configuration.mServices) {
-    longest = std::max(longest, LoanTerm(it));
+    longest = std::max(longest, LongestLoan(it));
   }
   for (const auto& it : configuration.mEntries) {
     if (it.mName != aNode.mSelf.mEntry) {
@@ -252,67 +370,118 @@
     peers = std::move(left);
     co_await Sleep(aNode, kRecallPause);
   }
-  UseOwnedFrom(
-    aNode, std::max(Clock::now(),
-                    started + aNode.mAccepted.mConfiguration.mSlotQuarantine));
+  const auto usable = std::max(Clock::now(), started + quarantine);
+  for (auto& [name, state] : aNode.mServices) {
+    state.mSlots.mUsableFrom = std::min(state.mSlots.mUsableFrom, usable);
+  }
   Log(LogLevel::Info, "loans_recalled",
       { { "unanswered", std::to_string(peers.size()) } });
 }
 
-std::string AnswerRecall(Node& aNode, const std::string& aBody)
+asio::awaitable<void> OfferSlots(Node& aNode, double aPart)
 {
-  RecallQuestion question;
-  RecallMessage message;
-  if (!FromJson(aBody, question).empty()) {
-    return "{}";
-  }
-  const auto now = Clock::now();
-  aNode.mRecalledBy[question.mLender] = question.mIncarnation;
-  message.mVersion = aNode.mAccepted.mVersion;
   for (auto& [name, state] : aNode.mServices) {
-    for (const auto& it : RecallBorrowed(state.mSlots, question.mLender, now)) {
-      const auto left = std::chrono::ceil<Millis>(it.mExpiry - now);
-      message.mLoans.push_back(
-        { name, it.mId, std::max(left, Millis(0)), it.mSlots });
+    for (const auto& it : aNode.mAccepted.mConfiguration.mRegions) {
+      OfferRegion(aNode, state, it.mName, aPart);
     }
   }
-  return ToJson(message);
+  co_return;
 }
 
 std::string AnswerBorrow(Node& aNode, const std::string& aBody)
 {
   BorrowQuestion question;
   BorrowMessage message;
+  message.mLender = aNode.mSelf.mNumber;
   if (!FromJson(aBody, question).empty() ||
       question.mVersion != aNode.mAccepted.mVersion) {
     return ToJson(message);
   }
-  const auto it = aNode.mServices.find(question.mService);
-  if (it == aNode.mServices.end()) {
+  auto* state = FindState(aNode, question.mService);
+  if (state == nullptr || !state->mRegions[question.mRegion].mQueue.empty()) {
     return ToJson(message);
   }
-  auto& state = it->second;
-  if (!state.mRegions[question.mRegion].mQueue.empty()) {
+  const auto now = Clock::now();
+  const auto back = TakeIdleBorrowed(state->mSlots, now, [&](const Loan& a) {
+    return a.mPeer == question.mBorrower &&
+           RegionOf(*state, a.mTarget) == question.mRegion;
+  });
+  message.mReturned = IdsOf(back);
+  message.mTerm = LoanTerm(state->mService);
+  if (back.size() >= question.mWant) {
     return ToJson(message);
   }
-  const auto term = LoanTerm(state.mService);
-  const auto keep = OwnedIn(state, question.mRegion) / kKeepDivisor;
-  const auto loan =
-    Lend(state.mSlots, state.mService, question.mBorrower, question.mRegion,
-         std::min(question.mWant, kMostWant), keep, Clock::now(), term);
-  message = { aNode.mSelf.mNumber, loan.mId, term, loan.mSlots };
+  LendQuery query;
+  query.mPeer = question.mBorrower;
+  query.mRegion = question.mRegion;
+  query.mWant = std::min(question.mWant, kMostWant) -
+                static_cast<std::uint32_t>(back.size());
+  query.mKeep = std::max(OwnedIn(*state, question.mRegion) / kKeepDivisor,
+                         std::uint32_t{ 1 });
+  query.mTerm = message.mTerm;
+  message.mLoans = ToWire(Lend(state->mSlots, state->mService, query, now));
   return ToJson(message);
 }
 
 std::string AnswerReturn(Node& aNode, const std::string& aBody)
 {
   ReturnMessage message;
-  if (FromJson(aBody, message).empty()) {
-    const auto it = aNode.mServices.find(message.mService);
-    if (it != aNode.mServices.end()) {
-      EndLent(it->second.mSlots, message.mId, message.mBorrower);
+  if (!FromJson(aBody, message).empty()) {
+    return "{}";
+  }
+  auto* state = FindState(aNode, message.mService);
+  if (state == nullptr) {
+    return "{}";
+  }
+  for (const auto it : message.mIds) {
+    EndLent(state->mSlots, it, message.mBorrower);
+  }
+  for (auto& [region, waiting] : state->mRegions) {
+    WakeWaiters(*state, region);
+  }
+  return "{}";
+}
+
+std::string AnswerRecall(Node& aNode, const std::string& aBody)
+{
+  RecallQuestion question;
+  RecallMessage message;
+  if (!FromJson(aBody, question).empty()) {
+    return "{}";
+  }
+  const auto now = Clock::now();
+  aNode.mRecalledBy[question.mLender] = question.mIncarnation;
+  message.mVersion = aNode.mAccepted.mVersion;
+  for (auto& [name, state] : aNode.mServices) {
+    for (const auto& it : RecallBorrowed(state.mSlots, question.mLender, now)) {
+      const auto left = std::chrono::ceil<Millis>(it.mExpiry - now);
+      message.mLoans.push_back(
+        { name, it.mId, std::max(left, Millis(0)), it.mTarget });
     }
   }
+  return ToJson(message);
+}
+
+std::string AnswerOffer(Node& aNode, const std::string& aBody)
+{
+  OfferMessage message;
+  const bool clear = FromJson(aBody, message).empty();
+  auto* state = FindState(aNode, message.mService);
+  if (!clear || state == nullptr ||
+      message.mVersion != aNode.mAccepted.mVersion ||
+      IsOfEarlierLife(aNode, message.mLender, message.mIncarnation)) {
+    return "{}";
+  }
+  // The lender's clock started the term before this message came, so that
+  // the borrower gives up a margin more than the way took.
+  const auto asked = Clock::now() - kBorrowTimeout;
+  for (const auto& it : message.mLoans) {
+    Borrow(state->mSlots, { it.mId, message.mLender, it.mTarget, {} }, asked,
+           message.mTerm);
+  }
+  for (auto& [region, waiting] : state->mRegions) {
+    WakeWaiters(*state, region);
+  }
   return "{}";
 }
 
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -26,6 +26,8 @@
 
 constexpr Millis kLeaveMargin{ 500 };
 constexpr Millis kStopPoll{ 20 };
+constexpr Millis kOfferTime{ 200 };
+constexpr int kLeaveSteps = 10;
 constexpr int kExitCut = 1;
 constexpr int kExitCannotStart = 3;
 
@@ -74,12 +76,18 @@
       { { "in_flight", std::to_string(aNode.mHttpServer.InFlight()) } });
   aNode.mView.mOwnNews.mLeaving = true;
   co_await TellEveryone(aNode);
-  co_await Sleep(aNode,
-                 aNode.mAccepted.mConfiguration.mLookupTtl + kLeaveMargin);
+  // As callers' look-up answers expire, peers take over the slots.
+  const auto time = aNode.mAccepted.mConfiguration.mLookupTtl + kLeaveMargin;
+  for (int n = 1; n <= kLeaveSteps; ++n) {
+    co_await OfferSlots(aNode, static_cast<double>(n) / kLeaveSteps);
+    co_await Sleep(aNode, time / kLeaveSteps);
+  }
   aNode.mHttpServer.Drain();
   while (aNode.mHttpServer.InFlight() > 0 || !aNode.mFlights.empty()) {
     co_await Sleep(aNode, kStopPoll);
   }
+  co_await OfferSlots(aNode, 1);
+  co_await Sleep(aNode, kOfferTime);
   Log(LogLevel::Info, "stopped", {});
   aNode.mContext.stop();
 }
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -26,6 +26,9 @@
 
 constexpr const char* kRetryAfterSeconds = "1";
 constexpr std::size_t kMostTries = 3;
+/// Part of the time limit that is kept for the answer's way, as a divisor.
+constexpr int kReplyPart = 20;
+constexpr Millis kLeastReplyTime{ 10 };
 
 std::string ServiceOf(const std::string& aTarget)
 {
@@ -46,10 +49,12 @@
   std::int64_t n = 0;
   const auto result =
     std::from_chars(text.data(), text.data() + text.size(), n);
-  if (result.ec != std::errc{} || n <= 0) {
-    return aClass.mDeadline;
+  auto limit = aClass.mDeadline;
+  if (result.ec == std::errc{} && n > 0) {
+    limit = std::min(Millis(n), limit);
   }
-  return std::min(Millis(n), aClass.mDeadline);
+  // The answer must reach the caller while it still waits.
+  return limit - std::max(limit / kReplyPart, kLeastReplyTime);
 }
 
 std::uint64_t DigestOf(const HttpRequest& aRequest)
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -16,7 +16,6 @@
 BOOST_DESCRIBE_STRUCT(Heartbeat, (), (mSender, mNews, mCrashers))
 BOOST_DESCRIBE_STRUCT(Outcome, (), (mStatus, mContentType, mBody))
 BOOST_DESCRIBE_ENUM(ResolveVerdict, Yours, Done, Busy, HeldBy, Unknown)
-BOOST_DESCRIBE_STRUCT(SlotCount, (), (mTarget, mCount))
 
 namespace detail {
 
@@ -27,6 +26,7 @@
 inline constexpr const char* kBorrowCall = "borrow";
 inline constexpr const char* kReturnCall = "return";
 inline constexpr const char* kRecallCall = "recall";
+inline constexpr const char* kOfferCall = "offer";
 
 /// Asks for the configuration if it is newer than a version.
 struct ConfigurationQuestion
@@ -66,20 +66,38 @@
   std::uint32_t mWant = 0;
 };
 
+struct LentSlot
+{
+  std::uint64_t mId = 0;
+  std::uint32_t mTarget = 0;
+};
+
 struct BorrowMessage
 {
   std::uint64_t mLender = 0; ///< Incarnation of the lender.
-  std::uint64_t mId = 0;
   Millis mTerm{ 0 };
-  std::vector<SlotCount> mSlots;
+  std::vector<LentSlot> mLoans;
+  /// Loans of the asker that its borrower gives back with this answer.
+  std::vector<std::uint64_t> mReturned;
 };
 
-/// Gives a loan back before its end.
+/// Gives loans back before their end.
 struct ReturnMessage
 {
   std::string mBorrower;
   std::string mService;
-  std::uint64_t mId = 0;
+  std::vector<std::uint64_t> mIds;
+};
+
+/// Slots that an entry gives away because it is about to stop.
+struct OfferMessage
+{
+  std::string mLender;
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mVersion = 0; ///< Target indices hold for this version.
+  std::string mService;
+  Millis mTerm{ 0 };
+  std::vector<LentSlot> mLoans;
 };
 
 /// A started entry asks what its earlier life lent.
@@ -95,7 +113,7 @@
   std::string mService;
   std::uint64_t mId = 0;
   Millis mLeft{ 0 };
-  std::vector<SlotCount> mSlots;
+  std::uint32_t mTarget = 0;
 };
 
 struct RecallMessage
@@ -105,7 +123,7 @@
 };
 
 BOOST_DESCRIBE_STRUCT(RecallQuestion, (), (mLender, mIncarnation))
-BOOST_DESCRIBE_STRUCT(RecalledLoan, (), (mService, mId, mLeft, mSlots))
+BOOST_DESCRIBE_STRUCT(RecalledLoan, (), (mService, mId, mLeft, mTarget))
 BOOST_DESCRIBE_STRUCT(RecallMessage, (), (mVersion, mLoans))
 BOOST_DESCRIBE_STRUCT(ConfigurationQuestion, (), (mAbove))
 BOOST_DESCRIBE_STRUCT(ConfigurationMessage, (), (mVersion, mConfiguration))
@@ -113,8 +131,12 @@
 BOOST_DESCRIBE_STRUCT(ResolveMessage, (), (mVerdict, mOutcome, mHolder))
 BOOST_DESCRIBE_STRUCT(BorrowQuestion, (),
                       (mBorrower, mVersion, mService, mRegion, mWant))
-BOOST_DESCRIBE_STRUCT(BorrowMessage, (), (mLender, mId, mTerm, mSlots))
-BOOST_DESCRIBE_STRUCT(ReturnMessage, (), (mBorrower, mService, mId))
+BOOST_DESCRIBE_STRUCT(LentSlot, (), (mId, mTarget))
+BOOST_DESCRIBE_STRUCT(BorrowMessage, (), (mLender, mTerm, mLoans, mReturned))
+BOOST_DESCRIBE_STRUCT(OfferMessage, (),
+                      (mLender, mIncarnation, mVersion, mService, mTerm,
+                       mLoans))
+BOOST_DESCRIBE_STRUCT(ReturnMessage, (), (mBorrower, mService, mIds))
 
 } // namespace detail
 } // namespace guavaline
--- a/testing/history/summary.cpp
+++ b/testing/history/summary.cpp
@@ -81,6 +81,13 @@
 Summary Summarize(const std::vector<Event>& aEvents)
 {
   Summary out;
+  for (const auto& it : aEvents) {
+    const bool failed = it.mKind == EventKind::CallFailed;
+    if (failed || (it.mKind == EventKind::CallAnswered && it.mRan != "yes")) {
+      ++out.mRefusals[it.mClass + " ran=" + (failed ? "?" : it.mRan) + " " +
+                      it.mOutcome];
+    }
+  }
   SummarizeCalls(aEvents, out);
   SummarizeRuns(aEvents, out);
   return out;
@@ -105,6 +112,9 @@
             ? static_cast<double>(it.mPeak) / static_cast<double>(it.mSlots)
             : 0.0);
   }
+  for (const auto& [key, n] : aSummary.mRefusals) {
+    Print(out, "attempts refused or failed: %s: %lu\n", key.c_str(), n);
+  }
   return out;
 }
 
--- a/testing/history/summary.hpp
+++ b/testing/history/summary.hpp
@@ -33,6 +33,8 @@
 {
   std::map<std::string, ClassSummary> mClasses;  ///< By "service/class".
   std::map<std::string, RegionSummary> mRegions; ///< By "service/region".
+  /// Attempts without a target's answer, by class, "ran" and reason.
+  std::map<std::string, std::uint64_t> mRefusals;
 };
 
 [[nodiscard]] Summary Summarize(const std::vector<Event>& aEvents);
