Keep a lent-out region's last slot only where callers were served lately

Cause: every entry kept one idle slot of each region, also of regions that none of its callers use; 1 of 9 slots (test) and 2 of 12 (demo) never worked. Ruled out: rounding of the assignment (the peak was 8 of 9 in all regions). Change: a lender keeps slots of a region only within 1 s of sending there.

--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -19,6 +19,7 @@
 constexpr Millis kBorrowPause{ 100 };
 constexpr Millis kReturnPeriod{ 500 };
 constexpr Millis kKeepWanted{ 1'000 };
+constexpr Millis kKeepPlaced{ 1'000 };
 constexpr Millis kRecallTimeout{ 500 };
 constexpr Millis kRecallPause{ 50 };
 /// A host is replaced within this time, or its slots stay idle.
@@ -51,6 +52,16 @@
   return n;
 }
 
+/// Idle slots that stay here for this entry's own callers.
+std::uint32_t KeptIn(ServiceState& aState, const std::string& aRegion,
+                     TimePoint aNow)
+{
+  if (aNow - aState.mRegions[aRegion].mPlaced >= kKeepPlaced) {
+    return 0;
+  }
+  return std::max(OwnedIn(aState, aRegion) / kKeepDivisor, std::uint32_t{ 1 });
+}
+
 std::uint32_t LentIn(const ServiceState& aState, const std::string& aRegion)
 {
   return static_cast<std::uint32_t>(std::count_if(
@@ -416,8 +427,7 @@
   query.mRegion = question.mRegion;
   query.mWant = std::min(question.mWant, kMostWant) -
                 static_cast<std::uint32_t>(back.size());
-  query.mKeep = std::max(OwnedIn(*state, question.mRegion) / kKeepDivisor,
-                         std::uint32_t{ 1 });
+  query.mKeep = KeptIn(*state, question.mRegion, now);
   query.mTerm = message.mTerm;
   message.mLoans = ToWire(Lend(state->mSlots, state->mService, query, now));
   return ToJson(message);
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -55,6 +55,7 @@
   bool mBorrowing = false;  ///< A request for a loan is on its way.
   TimePoint mBorrowAfter{}; ///< No further request before then.
   TimePoint mWanted{};      ///< When slots were last short.
+  TimePoint mPlaced{};      ///< When a request was last sent there.
   std::size_t mNextLender = 0;
 };
 
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -315,6 +315,7 @@
   }
   const auto index = NextRegion(aNode, it->second, aQuery.mPlace);
   const auto region = aNode.mAccepted.mConfiguration.mRegions[index].mName;
+  it->second.mRegions[region].mPlaced = Clock::now();
   if (!TakeLink(aNode, region, aQuery.mBytes)) {
     co_return NoPlace(PlacementFailure::LinkFull);
   }
