--- a/include/guavaline/admission/slots.hpp
+++ b/include/guavaline/admission/slots.hpp
@@ -97,8 +97,7 @@
 
 /// Lends idle owned slots to another entry; borrowed ones are not lent on.
 /// @returns one loan for each slot
-[[nodiscard]] std::vector<Loan> Lend(SlotTable& aTable,
-                                     const Service& aService,
+[[nodiscard]] std::vector<Loan> Lend(SlotTable& aTable, const Service& aService,
                                      const LendQuery& aQuery, TimePoint aNow);
 
 /// Notes a loan received.
--- a/include/guavaline/attempts/attempts.hpp
+++ b/include/guavaline/attempts/attempts.hpp
@@ -56,8 +56,9 @@
 struct Attempt
 {
   AttemptState mState = AttemptState::Held;
-  Outcome mOutcome;    ///< For Done.
-  Incarnation mHolder; ///< For Moved.
+  std::uint64_t mDigest = 0; ///< Of the first request that brought it.
+  Outcome mOutcome;          ///< For Done.
+  Incarnation mHolder;       ///< For Moved.
   TimePoint mKeepUntil;
 };
 
@@ -88,6 +89,7 @@
   Unknown,   ///< Answer that it may have run.
   Malformed, ///< The identity cannot be read: it did not run.
   Full,      ///< No room to remember it: it did not run.
+  Reused,    ///< Another request has this identity: this one did not run.
 };
 
 struct AdmitDecision
@@ -98,8 +100,10 @@
 };
 
 /// Decides on a request that has arrived from a caller.
+/// @param aDigest  of the request; a resend has the same
 [[nodiscard]] AdmitDecision Admit(AttemptTable& aTable,
-                                  const std::string& aIdentity, TimePoint aNow);
+                                  const std::string& aIdentity,
+                                  std::uint64_t aDigest, TimePoint aNow);
 
 /// Marks an identity as running, just before its first byte is sent.
 /// @returns false where it is no longer held here and must not be run
--- a/include/guavaline/targets/health.hpp
+++ b/include/guavaline/targets/health.hpp
@@ -17,7 +17,8 @@
 struct TargetHealth
 {
   bool mReachable = true;       ///< The last probe or connection worked.
-  bool mLeaving = false;        ///< It said that it is about to stop.
+  bool mLeaving = false;        ///< Its health endpoint says that it will stop.
+  bool mSaidLeaving = false;    ///< Its answers said so, in this life of it.
   bool mDrained = false;        ///< A planned drain of its place is in force.
   double mLatencyMs = 0;        ///< Moving average; 0 while not known.
   std::uint32_t mFailures = 0;  ///< Failed exchanges in a row.
@@ -33,6 +34,10 @@
 /// Notes an exchange that failed; several in a row eject the target.
 void NoteFailure(TargetHealth& aHealth, TimePoint aNow) noexcept;
 
+/// Notes that an answer said that the target is about to stop. A health
+/// endpoint that lags does not take it back; a restart does.
+void NoteSaidLeaving(TargetHealth& aHealth) noexcept;
+
 /// Notes the result of a probe of the health endpoint.
 void NoteProbe(TargetHealth& aHealth, bool aReachable, bool aLeaving,
                TimePoint aNow) noexcept;
--- a/src/attempts/attempts.cpp
+++ b/src/attempts/attempts.cpp
@@ -163,13 +163,17 @@
 }
 
 AdmitDecision Admit(AttemptTable& aTable, const std::string& aIdentity,
-                    TimePoint aNow)
+                    std::uint64_t aDigest, TimePoint aNow)
 {
   const auto identity = ParseIdentity(aIdentity);
   if (!identity) {
     return { AdmitAction::Malformed, {}, {} };
   }
   if (auto* known = Find(aTable, aIdentity)) {
+    if (known->mDigest != 0 && known->mDigest != aDigest) {
+      return { AdmitAction::Reused, {}, {} };
+    }
+    known->mDigest = aDigest;
     return DecideKnown(*known);
   }
   const bool own = identity->mIssuer == aTable.mSelf;
@@ -185,6 +189,7 @@
   }
   auto& attempt = aTable.mAttempts[aIdentity];
   attempt.mKeepUntil = KeepUntil(aTable, aNow);
+  attempt.mDigest = aDigest;
   if (own) {
     attempt.mState = AttemptState::Held;
     return { AdmitAction::Run, {}, {} };
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -80,6 +80,7 @@
   {
   }
 
+  std::uint64_t mDigest = 0; ///< Of the request.
   std::optional<HttpResponse> mResponse;
   boost::asio::steady_timer mEnded; ///< Cancelled when the response is set.
 };
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -101,13 +101,13 @@
     NoteServed(aNode.mCrashers, aCall.mDigest);
     if (!FindHeader(aResult.mResponse->mHeaders, kTargetLeavingHeader)
            .empty()) {
-      health.mLeaving = true;
+      NoteSaidLeaving(health);
     }
     return;
   }
   NoteFailure(health, now);
   if (aResult.mConnectFailed && !aResult.mTimedOut) {
-    health.mReachable = false;
+    NoteProbe(health, false, false, now);
   }
   const bool broke = aResult.mMayHaveReached && !aResult.mTimedOut;
   if (broke) {
--- a/src/forwarding/flights.cpp
+++ b/src/forwarding/flights.cpp
@@ -63,9 +63,10 @@
 }
 
 /// Finds out whether this entry may run an identity, asking other holders.
-asio::awaitable<AdmitDecision> Decide(Node& aNode, std::string aIdentity)
+asio::awaitable<AdmitDecision> Decide(Node& aNode, std::string aIdentity,
+                                      std::uint64_t aDigest)
 {
-  auto decision = Admit(aNode.mAttempts, aIdentity, Clock::now());
+  auto decision = Admit(aNode.mAttempts, aIdentity, aDigest, Clock::now());
   for (std::size_t n = 0; n < kMostHops && decision.mAction == AdmitAction::Ask;
        ++n) {
     const auto answer = co_await AskHolder(aNode, aIdentity, decision.mAsk);
@@ -111,7 +112,7 @@
 
 asio::awaitable<HttpResponse> Run(Node& aNode, Call& aCall)
 {
-  const auto decision = co_await Decide(aNode, aCall.mIdentity);
+  const auto decision = co_await Decide(aNode, aCall.mIdentity, aCall.mDigest);
   switch (decision.mAction) {
     case AdmitAction::Run:
       co_return co_await RunHeld(aNode, aCall);
@@ -123,6 +124,8 @@
                                IdentityPrefix(aNode.mAttempts, Clock::now()) });
       co_return out;
     }
+    case AdmitAction::Reused:
+      co_return Refusal(422, "no", "identity_reused");
     case AdmitAction::Full:
       co_return Refusal(503, "no", "memory_full");
     case AdmitAction::Ask:
@@ -149,8 +152,12 @@
   const auto it = aNode.mFlights.find(aCall.mIdentity);
   if (it != aNode.mFlights.end() && !aCall.mIdentity.empty()) {
     flight = it->second;
+    if (flight->mDigest != aCall.mDigest) {
+      co_return Refusal(422, "no", "identity_reused");
+    }
   } else {
     flight.reset(new Flight(aNode.mContext.get_executor()));
+    flight->mDigest = aCall.mDigest;
     if (!aCall.mIdentity.empty()) {
       aNode.mFlights[aCall.mIdentity] = flight;
     }
--- a/src/targets/health.cpp
+++ b/src/targets/health.cpp
@@ -21,7 +21,8 @@
 
 bool CanServe(const TargetHealth& aHealth) noexcept
 {
-  return aHealth.mReachable && !aHealth.mLeaving && !aHealth.mDrained;
+  return aHealth.mReachable && !aHealth.mLeaving && !aHealth.mSaidLeaving &&
+         !aHealth.mDrained;
 }
 
 } // namespace
@@ -53,9 +54,17 @@
   aHealth.mFailures = 0;
 }
 
+void NoteSaidLeaving(TargetHealth& aHealth) noexcept
+{
+  aHealth.mSaidLeaving = true;
+}
+
 void NoteProbe(TargetHealth& aHealth, bool aReachable, bool aLeaving,
                TimePoint aNow) noexcept
 {
+  if (!aReachable) {
+    aHealth.mSaidLeaving = false;
+  }
   aHealth.mReachable = aReachable;
   aHealth.mLeaving = aLeaving;
   aHealth.mMeasured = std::max(aHealth.mMeasured, aNow);
--- a/testing/cluster/cluster.cpp
+++ b/testing/cluster/cluster.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/process/child.hpp>
+#include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
 #include <csignal>
@@ -50,12 +51,13 @@
 
 } // namespace
 
-/// A running guavalined.
+/// A running guavalined. It must not inherit the stand-ins' sockets, which
+/// would stay open in it after a stand-in closed them.
 class EntryProcess
 {
 public:
   EntryProcess(const std::string& aSettings, const std::string& aLog)
-    : mChild(GUAVALINED_PATH, "--settings", aSettings,
+    : mChild(GUAVALINED_PATH, "--settings", aSettings, process::limit_handles,
              process::std_out > process::null, process::std_err > aLog)
   {
   }
--- a/testing/load/driver.cpp
+++ b/testing/load/driver.cpp
@@ -153,6 +153,9 @@
     call.mService = aStream.mService;
     call.mMethod = MethodOf(aStream.mClass);
     call.mPath = "/" + aStream.mClass + "/" + std::to_string(++mCalls);
+    if (!aStream.mPath.empty()) {
+      call.mPath = aStream.mPath;
+    }
     call.mTimeout = aStream.mTimeout;
     call.mBody = aStream.mBody;
     if (call.mBody.empty() && call.mMethod != std::string("GET")) {
--- a/testing/load/driver.hpp
+++ b/testing/load/driver.hpp
@@ -22,6 +22,7 @@
   Millis mTimeout{ 5'000 };
   std::size_t mBodyBytes = 200;
   std::string mBody; ///< Instead of a drawn one.
+  std::string mPath; ///< Instead of a path of its own for each call.
 };
 
 struct LoadPlan
--- a/testing/standin/target.cpp
+++ b/testing/standin/target.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <stdexcept>
+
 namespace guavaline::testing {
 
 namespace asio = boost::asio;
@@ -78,7 +80,9 @@
 asio::awaitable<void> TargetStandin::RestartLater()
 {
   co_await Wait(kRestartAfter);
-  (void)Start();
+  if (const auto problem = Start(); !problem.empty()) {
+    throw std::runtime_error(mTarget.mName + " cannot restart: " + problem);
+  }
 }
 
 void TargetStandin::Crash()
--- a/tests/unit/attempts_test.cpp
+++ b/tests/unit/attempts_test.cpp
@@ -12,6 +12,7 @@
 
 const TimePoint kNow{ 1000s };
 constexpr Millis kRetention{ 400'000 };
+constexpr std::uint64_t kDigest = 77;
 
 AttemptTable Table(const std::string& aEntry, std::uint64_t aNumber = 7)
 {
@@ -37,8 +38,8 @@
   for (const auto* it :
        { "", "a", "a.b", "a.1.2", "a.1.2.", ".1.2.x", "a.g.2.x", "a.1.2.x y",
          "a.1.2.x\r\ny", "a.1.2.x.y" }) {
-    cr_assert_eq(Admit(table, it, kNow).mAction, AdmitAction::Malformed, "%s",
-                 it);
+    cr_assert_eq(Admit(table, it, kDigest, kNow).mAction,
+                 AdmitAction::Malformed, "%s", it);
   }
   cr_assert(table.mAttempts.empty());
 }
@@ -47,11 +48,11 @@
 {
   auto table = Table("a");
   const auto id = IdentityPrefix(table, kNow) + "1";
-  cr_assert_eq(Admit(table, id, kNow).mAction, AdmitAction::Run);
+  cr_assert_eq(Admit(table, id, kDigest, kNow).mAction, AdmitAction::Run);
   cr_assert(StartRun(table, id));
-  cr_assert_eq(Admit(table, id, kNow).mAction, AdmitAction::Join);
+  cr_assert_eq(Admit(table, id, kDigest, kNow).mAction, AdmitAction::Join);
   FinishRun(table, id, { 200, "t", "body" });
-  const auto again = Admit(table, id, kNow);
+  const auto again = Admit(table, id, kDigest, kNow);
   cr_assert_eq(again.mAction, AdmitAction::Replay);
   cr_assert_eq(again.mOutcome.mBody, "body");
   cr_assert_not(StartRun(table, id));
@@ -61,10 +62,10 @@
 {
   auto table = Table("a");
   const auto id = IdentityPrefix(table, kNow) + "1";
-  (void)Admit(table, id, kNow);
+  (void)Admit(table, id, kDigest, kNow);
   cr_assert(StartRun(table, id));
   FinishUnknown(table, id);
-  cr_assert_eq(Admit(table, id, kNow).mAction, AdmitAction::Unknown);
+  cr_assert_eq(Admit(table, id, kDigest, kNow).mAction, AdmitAction::Unknown);
   cr_assert_not(StartRun(table, id));
 }
 
@@ -72,10 +73,10 @@
 {
   auto table = Table("a");
   const auto id = IdentityPrefix(table, kNow) + "1";
-  (void)Admit(table, id, kNow);
+  (void)Admit(table, id, kDigest, kNow);
   cr_assert(StartRun(table, id));
   FinishNotRun(table, id);
-  cr_assert_eq(Admit(table, id, kNow).mAction, AdmitAction::Run);
+  cr_assert_eq(Admit(table, id, kDigest, kNow).mAction, AdmitAction::Run);
 }
 
 Test(attempts, a_resend_elsewhere_moves_the_right_to_run)
@@ -83,7 +84,7 @@
   auto a = Table("a");
   auto b = Table("b");
   const auto id = IdentityPrefix(a, kNow) + "1";
-  const auto ask = Admit(b, id, kNow);
+  const auto ask = Admit(b, id, kDigest, kNow);
   cr_assert_eq(ask.mAction, AdmitAction::Ask);
   cr_assert(ask.mAsk == a.mSelf);
   const auto answer = Resolve(a, id, a.mSelf, b.mSelf, kNow);
@@ -91,7 +92,7 @@
   cr_assert(StartRun(b, id));
   // The issuer may not run it any more; it asks the holder.
   cr_assert_not(StartRun(a, id));
-  const auto back = Admit(a, id, kNow);
+  const auto back = Admit(a, id, kDigest, kNow);
   cr_assert_eq(back.mAction, AdmitAction::Ask);
   cr_assert(back.mAsk == b.mSelf);
 }
@@ -101,10 +102,10 @@
   auto a = Table("a");
   auto b = Table("b");
   const auto id = IdentityPrefix(a, kNow) + "1";
-  (void)Admit(b, id, kNow);
+  (void)Admit(b, id, kDigest, kNow);
   (void)Resolve(a, id, a.mSelf, b.mSelf, kNow);
   AbandonAsk(b, id);
-  cr_assert_eq(Admit(b, id, kNow).mAction, AdmitAction::Ask);
+  cr_assert_eq(Admit(b, id, kDigest, kNow).mAction, AdmitAction::Ask);
   const auto answer = Resolve(a, id, a.mSelf, b.mSelf, kNow);
   cr_assert_eq(TakeAnswer(b, id, answer).mAction, AdmitAction::Run);
 }
@@ -114,7 +115,7 @@
   const auto old = Table("a", 1);
   auto fresh = Table("a", 2);
   const auto id = IdentityPrefix(old, kNow) + "1";
-  cr_assert_eq(Admit(fresh, id, kNow).mAction, AdmitAction::Unknown);
+  cr_assert_eq(Admit(fresh, id, kDigest, kNow).mAction, AdmitAction::Unknown);
   cr_assert_eq(Resolve(fresh, id, old.mSelf, { "b", 1 }, kNow).mVerdict,
                ResolveVerdict::Unknown);
   cr_assert(fresh.mAttempts.empty());
@@ -124,13 +125,13 @@
 {
   auto table = Table("a");
   const auto id = IdentityPrefix(table, kNow) + "1";
-  (void)Admit(table, id, kNow);
+  (void)Admit(table, id, kDigest, kNow);
   (void)StartRun(table, id);
   FinishRun(table, id, { 200, "", "" });
   const auto later = kNow + 3 * kRetention;
   ForgetOld(table, later);
   cr_assert(table.mAttempts.empty());
-  cr_assert_eq(Admit(table, id, later).mAction, AdmitAction::Unknown);
+  cr_assert_eq(Admit(table, id, kDigest, later).mAction, AdmitAction::Unknown);
   cr_assert_eq(Resolve(table, id, table.mSelf, { "b", 1 }, later).mVerdict,
                ResolveVerdict::Unknown);
 }
@@ -141,11 +142,12 @@
   for (Millis age{ 0 }; age < 2 * kRetention; age += 1s) {
     auto copy = table;
     const auto id = IdentityPrefix(copy, kNow) + "1";
-    (void)Admit(copy, id, kNow);
+    (void)Admit(copy, id, kDigest, kNow);
     (void)StartRun(copy, id);
     FinishRun(copy, id, { 200, "", "" });
     ForgetOld(copy, kNow + age);
-    cr_assert_neq(Admit(copy, id, kNow + age).mAction, AdmitAction::Run);
+    cr_assert_neq(Admit(copy, id, kDigest, kNow + age).mAction,
+                  AdmitAction::Run);
   }
 }
 
@@ -154,8 +156,20 @@
   auto table = Table("a");
   table.mMostAttempts = 1;
   const auto prefix = IdentityPrefix(table, kNow);
-  cr_assert_eq(Admit(table, prefix + "1", kNow).mAction, AdmitAction::Run);
-  cr_assert_eq(Admit(table, prefix + "2", kNow).mAction, AdmitAction::Full);
+  cr_assert_eq(Admit(table, prefix + "1", kDigest, kNow).mAction,
+               AdmitAction::Run);
+  cr_assert_eq(Admit(table, prefix + "2", kDigest, kNow).mAction,
+               AdmitAction::Full);
+}
+
+Test(attempts, an_identity_brought_by_another_request_is_refused)
+{
+  auto table = Table("a");
+  const auto id = IdentityPrefix(table, kNow) + "1";
+  cr_assert_eq(Admit(table, id, kDigest, kNow).mAction, AdmitAction::Run);
+  cr_assert_eq(Admit(table, id, kDigest + 1, kNow).mAction,
+               AdmitAction::Reused);
+  cr_assert_eq(Admit(table, id, kDigest, kNow).mAction, AdmitAction::Run);
 }
 
 // Many entries, resends to any of them, answers lost, runs that fail, and
@@ -181,7 +195,7 @@
         ids.push_back(IdentityPrefix(table, kNow) + std::to_string(step));
       }
       const auto id = ids[random() % ids.size()];
-      auto decision = Admit(table, id, kNow);
+      auto decision = Admit(table, id, kDigest, kNow);
       for (int hops = 0; hops < 4 && decision.mAction == AdmitAction::Ask;
            ++hops) {
         ResolveAnswer answer;
