--- a/include/guavaline/membership/membership.hpp
+++ b/include/guavaline/membership/membership.hpp
@@ -60,6 +60,10 @@
   std::size_t mNewsPerHeartbeat = 12;
 };
 
+/// @returns bounds that fit a number of entries: small fleets hear of each
+///          other fast, large ones spend less on each entry
+[[nodiscard]] MembershipTimes TimesFor(std::size_t aEntries) noexcept;
+
 /// The view of one entry.
 struct MembershipView
 {
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -6,6 +6,8 @@
 namespace guavaline {
 namespace {
 
+constexpr std::size_t kSmallFleet = 50;
+
 bool IsNewer(const MemberNews& aNew, const Member& aMember)
 {
   if (!aMember.mEverHeard) {
@@ -33,6 +35,19 @@
 
 } // namespace
 
+MembershipTimes TimesFor(std::size_t aEntries) noexcept
+{
+  MembershipTimes out;
+  if (aEntries > kSmallFleet) {
+    out.mPeriod = Millis(1'000);
+    out.mSuspectAfter = Millis(30'000);
+    out.mGoneAfter = Millis(90'000);
+    out.mPeersPerPeriod = 2;
+    out.mNewsPerHeartbeat = 4;
+  }
+  return out;
+}
+
 MembershipView MakeView(Incarnation aSelf, const MembershipTimes& aTimes)
 {
   MembershipView out;
@@ -62,6 +77,7 @@
     }
   }
   aView.mMembers = std::move(members);
+  aView.mTimes = TimesFor(aConfiguration.mEntries.size());
   aView.mPeerOrder.clear();
 }
 
--- a/testing/load_main.cpp
+++ b/testing/load_main.cpp
@@ -1,5 +1,7 @@
 /// Load tool: callers of a configuration's services.
 
+#include "experiment/matrix.hpp"
+#include "experiment/spread.hpp"
 #include "history/checker.hpp"
 #include "history/summary.hpp"
 #include "load/driver.hpp"
@@ -9,6 +11,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -73,6 +76,21 @@
   return 0;
 }
 
+int RunExperiment(const Arguments& aArguments)
+{
+  Matrix matrix;
+  auto problems = ReadMatrix(aArguments.mConfiguration, matrix);
+  std::ofstream csv(aArguments.mHistory.empty() ? "/dev/null"
+                                                : aArguments.mHistory);
+  if (problems.empty()) {
+    problems = RunMatrix(matrix, csv, std::cout);
+  }
+  for (const auto& it : problems) {
+    std::cerr << "guavaline-load: " << it.Describe() << '\n';
+  }
+  return problems.empty() ? 0 : 2;
+}
+
 int CheckFiles(const Arguments& aArguments)
 {
   std::vector<Event> events;
@@ -113,6 +131,20 @@
   auto* check = app.add_subcommand("check", "Check histories of a run");
   check->add_option("configuration", arguments.mConfiguration)->required();
   check->add_option("files", arguments.mFiles)->required();
+  auto* experiment = app.add_subcommand(
+    "experiment", "Run a matrix of decisions with a hand-turned clock");
+  experiment->add_option("matrix", arguments.mConfiguration, "Matrix (YAML)")
+    ->required();
+  experiment->add_option("--csv", arguments.mHistory, "File for all cells");
+  auto* spread = app.add_subcommand(
+    "spread", "How fast a configuration spreads by heartbeats, by fleet size");
   CLI11_PARSE(app, argc, argv);
+  if (spread->parsed()) {
+    ShowSpread(std::cout);
+    return 0;
+  }
+  if (experiment->parsed()) {
+    return RunExperiment(arguments);
+  }
   return run->parsed() ? RunCalls(arguments) : CheckFiles(arguments);
 }
