Leave out slow targets, and hand idle slots to the peer that asked in vain

Cause: at 0.8 load waiting entries asked peers every 100 ms and missed slots that became idle between; and lenders gave away slots of slow targets first, as those were always idle. Change: a target slower than three times its region's median is left out, up to a quarter of a region, and its slots are not asked for; an entry that was asked in vain lends the next idle slot to the asker.

--- a/include/guavaline/admission/slots.hpp
+++ b/include/guavaline/admission/slots.hpp
@@ -93,6 +93,8 @@
   std::uint32_t mWant = 0;
   std::uint32_t mKeep = 0; ///< Idle slots of the region that stay here.
   Millis mTerm{ 0 };       ///< How long the loans last.
+  /// Targets whose slots are of no use to the borrower, by index.
+  std::vector<std::uint32_t> mExcluded;
 };
 
 /// Lends idle owned slots to another entry; borrowed ones are not lent on.
--- a/include/guavaline/targets/health.hpp
+++ b/include/guavaline/targets/health.hpp
@@ -52,6 +52,12 @@
   const Service& aService, const std::string& aRegion,
   const std::vector<TargetHealth>& aHealth, TimePoint aNow);
 
+/// Finds the targets of a region that should get no new work now: those that
+/// are not eligible, and those that are far slower than the rest.
+[[nodiscard]] std::vector<std::uint32_t> AvoidedTargets(
+  const Service& aService, const std::string& aRegion,
+  const std::vector<TargetHealth>& aHealth, TimePoint aNow);
+
 /// A source of uniformly spread numbers.
 using RandomSource = std::function<std::uint64_t()>;
 
--- a/src/admission/slots.cpp
+++ b/src/admission/slots.cpp
@@ -214,9 +214,14 @@
 std::vector<Loan> Lend(SlotTable& aTable, const Service& aService,
                        const LendQuery& aQuery, TimePoint aNow)
 {
+  std::vector<std::uint32_t> targets;
   std::uint32_t total = 0;
   for (std::uint32_t n = 0; n < aService.mTargets.size(); ++n) {
-    if (aService.mTargets[n].mRegion == aQuery.mRegion) {
+    const bool excluded =
+      std::find(aQuery.mExcluded.begin(), aQuery.mExcluded.end(), n) !=
+      aQuery.mExcluded.end();
+    if (aService.mTargets[n].mRegion == aQuery.mRegion && !excluded) {
+      targets.push_back(n);
       total += IdleOwned(aTable, n, aNow);
     }
   }
@@ -224,12 +229,9 @@
   const std::size_t count = std::min(spare, aQuery.mWant);
   const auto expiry = aNow + aQuery.mTerm + kReclaimMargin;
   std::vector<Loan> out;
-  for (std::uint32_t n = 0; n < aService.mTargets.size(); ++n) {
-    if (aService.mTargets[n].mRegion != aQuery.mRegion) {
-      continue;
-    }
-    while (out.size() < count && IdleOwned(aTable, n, aNow) > 0) {
-      out.push_back({ aTable.mNextLoan++, aQuery.mPeer, n, expiry });
+  for (const auto it : targets) {
+    while (out.size() < count && IdleOwned(aTable, it, aNow) > 0) {
+      out.push_back({ aTable.mNextLoan++, aQuery.mPeer, it, expiry });
       aTable.mLent.push_back(out.back());
     }
   }
--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -20,6 +20,7 @@
 constexpr Millis kReturnPeriod{ 500 };
 constexpr Millis kKeepWanted{ 1'000 };
 constexpr Millis kKeepPlaced{ 1'000 };
+constexpr Millis kAskerMemory{ 500 };
 constexpr Millis kRecallTimeout{ 500 };
 constexpr Millis kRecallPause{ 50 };
 /// A host is replaced within this time, or its slots stay idle.
@@ -259,21 +260,17 @@
   return near.empty() ? far : near;
 }
 
-/// Lends slots of one region to an heir.
+/// Lends slots of one region and makes the message that says so.
 std::optional<OfferMessage> MakeOffer(Node& aNode, ServiceState& aState,
-                                      const std::string& aRegion,
-                                      const std::string& aHeir,
-                                      std::uint32_t aCount)
+                                      const LendQuery& aQuery)
 {
-  const auto loans =
-    Lend(aState.mSlots, aState.mService,
-         { aHeir, aRegion, aCount, 0, kOfferTerm }, Clock::now());
+  const auto loans = Lend(aState.mSlots, aState.mService, aQuery, Clock::now());
   if (loans.empty()) {
     return std::nullopt;
   }
   return OfferMessage{
     aNode.mSelf.mEntry,    aNode.mSelf.mNumber, aNode.mAccepted.mVersion,
-    aState.mService.mName, kOfferTerm,          ToWire(loans)
+    aState.mService.mName, aQuery.mTerm,        ToWire(loans)
   };
 }
 
@@ -294,7 +291,8 @@
   for (auto lent = LentIn(aState, aRegion); lent < goal && !heirs.empty();
        ++lent) {
     const auto& heir = heirs[lent % heirs.size()];
-    auto offer = MakeOffer(aNode, aState, aRegion, heir, 1);
+    auto offer =
+      MakeOffer(aNode, aState, { heir, aRegion, 1, 0, kOfferTerm, {} });
     if (!offer) {
       return;
     }
@@ -325,9 +323,14 @@
   }
   region.mBorrowing = true;
   const auto waiting = static_cast<std::uint32_t>(region.mQueue.size());
-  const BorrowQuestion question{ aNode.mSelf.mEntry, aNode.mAccepted.mVersion,
-                                 aService, aRegion,
-                                 std::clamp(waiting, kLeastWant, kMostWant) };
+  BorrowQuestion question;
+  question.mBorrower = aNode.mSelf.mEntry;
+  question.mVersion = aNode.mAccepted.mVersion;
+  question.mService = aService;
+  question.mRegion = aRegion;
+  question.mWant = std::clamp(waiting, kLeastWant, kMostWant);
+  question.mExcluded =
+    AvoidedTargets(state->mService, aRegion, state->mHealth, now);
   asio::co_spawn(
     aNode.mContext,
     BorrowSlots(aNode, question,
@@ -335,6 +338,36 @@
     asio::detached);
 }
 
+void LendToAsker(Node& aNode, const std::string& aService,
+                 const std::string& aRegion)
+{
+  auto* state = FindState(aNode, aService);
+  if (state == nullptr) {
+    return;
+  }
+  const auto now = Clock::now();
+  auto& region = state->mRegions[aRegion];
+  std::erase_if(region.mAskers, [now](const auto& a) {
+    return now - a.second >= kAskerMemory;
+  });
+  if (region.mAskers.empty() || !region.mQueue.empty()) {
+    return;
+  }
+  const auto first = std::min_element(
+    region.mAskers.begin(), region.mAskers.end(),
+    [](const auto& a, const auto& b) { return a.second < b.second; });
+  const auto asker = first->first;
+  auto offer = MakeOffer(aNode, *state,
+                         { asker, aRegion, 1, KeptIn(*state, aRegion, now),
+                           LoanTerm(state->mService), region.mAskersExclude });
+  if (!offer) {
+    return;
+  }
+  region.mAskers.erase(first);
+  asio::co_spawn(aNode.mContext, SendOffer(aNode, asker, std::move(*offer)),
+                 asio::detached);
+}
+
 void WakeWaiters(ServiceState& aState, const std::string& aRegion)
 {
   auto& queue = aState.mRegions[aRegion].mQueue;
@@ -429,7 +462,13 @@
                 static_cast<std::uint32_t>(back.size());
   query.mKeep = KeptIn(*state, question.mRegion, now);
   query.mTerm = message.mTerm;
+  query.mExcluded = question.mExcluded;
   message.mLoans = ToWire(Lend(state->mSlots, state->mService, query, now));
+  if (message.mLoans.empty() && back.empty()) {
+    auto& region = state->mRegions[question.mRegion];
+    region.mAskers[question.mBorrower] = now;
+    region.mAskersExclude = question.mExcluded;
+  }
   return ToJson(message);
 }
 
--- a/src/daemon/loans.hpp
+++ b/src/daemon/loans.hpp
@@ -18,6 +18,10 @@
 /// Wakes the first request that waits for a slot of a region.
 void WakeWaiters(ServiceState& aState, const std::string& aRegion);
 
+/// Lends a slot that has become idle to a peer that asked in vain lately.
+void LendToAsker(Node& aNode, const std::string& aService,
+                 const std::string& aRegion);
+
 /// Gives idle loans back; runs until the process stops.
 boost::asio::awaitable<void> ReturnIdleLoans(Node& aNode);
 
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -57,6 +57,9 @@
   TimePoint mWanted{};      ///< When slots were last short.
   TimePoint mPlaced{};      ///< When a request was last sent there.
   std::size_t mNextLender = 0;
+  /// Peers that asked in vain, and when; the next idle slots go to them.
+  std::map<std::string, TimePoint> mAskers;
+  std::vector<std::uint32_t> mAskersExclude; ///< As the last one asked.
 };
 
 /// What an entry keeps for one service.
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -55,6 +55,7 @@
   if (index && state->second.mSlots.mInUse[*index] > 0) {
     ReleaseSlot(state->second.mSlots, *index);
     WakeWaiters(state->second, aRegion);
+    LendToAsker(aNode, aService, aRegion);
   }
 }
 
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -64,6 +64,7 @@
   std::string mService;
   std::string mRegion;
   std::uint32_t mWant = 0;
+  std::vector<std::uint32_t> mExcluded; ///< Targets of no use to it.
 };
 
 struct LentSlot
@@ -130,7 +131,8 @@
 BOOST_DESCRIBE_STRUCT(ResolveQuestion, (), (mIdentity, mAsked, mAsker))
 BOOST_DESCRIBE_STRUCT(ResolveMessage, (), (mVerdict, mOutcome, mHolder))
 BOOST_DESCRIBE_STRUCT(BorrowQuestion, (),
-                      (mBorrower, mVersion, mService, mRegion, mWant))
+                      (mBorrower, mVersion, mService, mRegion, mWant,
+                       mExcluded))
 BOOST_DESCRIBE_STRUCT(LentSlot, (), (mId, mTarget))
 BOOST_DESCRIBE_STRUCT(BorrowMessage, (), (mLender, mTerm, mLoans, mReturned))
 BOOST_DESCRIBE_STRUCT(OfferMessage, (),
--- a/src/targets/health.cpp
+++ b/src/targets/health.cpp
@@ -19,6 +19,40 @@
   return aHealth.mLatencyMs * std::exp2(-age.count() / kHalfLifeSeconds);
 }
 
+/// Latency over this many times the region's median is slow.
+constexpr double kSlowFactor = 3;
+/// Slow targets are left out up to this part of a region, as a divisor.
+constexpr std::size_t kMostSlowDivisor = 4;
+
+/// Leaves out the slowest targets where they are far slower than the rest.
+/// Their measurements fade, so that each is tried again from time to time.
+std::vector<std::uint32_t> WithoutSlow(std::vector<std::uint32_t> aTargets,
+                                       const std::vector<TargetHealth>& aHealth,
+                                       TimePoint aNow)
+{
+  const auto most = aTargets.size() / kMostSlowDivisor;
+  if (most == 0) {
+    return aTargets;
+  }
+  std::vector<double> latencies;
+  for (const auto it : aTargets) {
+    if (aHealth[it].mLatencyMs > 0) {
+      latencies.push_back(ExpectedLatency(aHealth[it], aNow));
+    }
+  }
+  if (latencies.size() <= most) {
+    return aTargets;
+  }
+  std::sort(latencies.begin(), latencies.end());
+  const auto median = latencies[latencies.size() / 2];
+  const auto bound =
+    std::max(median * kSlowFactor, latencies[latencies.size() - most - 1]);
+  std::erase_if(aTargets, [&](std::uint32_t a) {
+    return ExpectedLatency(aHealth[a], aNow) > bound;
+  });
+  return aTargets;
+}
+
 bool CanServe(const TargetHealth& aHealth) noexcept
 {
   return aHealth.mReachable && !aHealth.mLeaving && !aHealth.mSaidLeaving &&
@@ -93,12 +127,29 @@
   return out.size() * 2 < serving.size() ? serving : out;
 }
 
+std::vector<std::uint32_t> AvoidedTargets(
+  const Service& aService, const std::string& aRegion,
+  const std::vector<TargetHealth>& aHealth, TimePoint aNow)
+{
+  const auto used = WithoutSlow(
+    EligibleTargets(aService, aRegion, aHealth, aNow), aHealth, aNow);
+  std::vector<std::uint32_t> out;
+  for (std::uint32_t n = 0; n < aService.mTargets.size(); ++n) {
+    if (aService.mTargets[n].mRegion == aRegion &&
+        std::find(used.begin(), used.end(), n) == used.end()) {
+      out.push_back(n);
+    }
+  }
+  return out;
+}
+
 std::optional<std::uint32_t> ChooseTarget(
   const TargetQuery& aQuery, const SlotTable& aSlots,
   const std::vector<TargetHealth>& aHealth, const RandomSource& aRandom)
 {
-  const auto targets =
-    EligibleTargets(aQuery.mService, aQuery.mRegion, aHealth, aQuery.mNow);
+  const auto targets = WithoutSlow(
+    EligibleTargets(aQuery.mService, aQuery.mRegion, aHealth, aQuery.mNow),
+    aHealth, aQuery.mNow);
   if (targets.empty()) {
     return std::nullopt;
   }
--- a/tests/unit/health_test.cpp
+++ b/tests/unit/health_test.cpp
@@ -96,3 +96,23 @@
   const TargetQuery query{ service, region, later, later + 1s, {} };
   cr_assert_eq(*ChooseTarget(query, slots, health, Zero), 0U);
 }
+
+Test(health, a_target_far_slower_than_the_rest_is_left_out)
+{
+  const auto service = tests::OneRegionService(8, 1);
+  std::vector<TargetHealth> health(8);
+  for (auto& it : health) {
+    NoteSuccess(it, 10ms, kNow);
+  }
+  NoteSuccess(health[3], 1'000ms, kNow);
+  auto slots = MakeSlotTable({ 0, 0, 0, 1, 0, 0, 0, 0 }, kNow);
+  const std::string region = "r1";
+  const TargetQuery query{ service, region, kNow, kNow + 1s, {} };
+  // Only the slow one has a free slot: waiting is better.
+  cr_assert_not(ChooseTarget(query, slots, health, Zero).has_value());
+  // Where half of them are slow there is no better place to wait for.
+  for (std::size_t n = 0; n < 5; ++n) {
+    NoteSuccess(health[n], 9'000ms, kNow);
+  }
+  cr_assert(ChooseTarget(query, slots, health, Zero).has_value());
+}
