Run the failure tests under both sanitizers in the test command

Cause: the tests ran in the release build only. Change: scripts/test.sh runs unit and failure tests of both presets. Before: not run.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,6 +34,8 @@
   cmake --build --preset "$preset" | tail -n 1
   echo "== unit tests ($preset)"
   run_suite "build/$preset/tests/unit_tests"
+  echo "== failure tests ($preset)"
+  run_suite "build/$preset/tests/failure_tests" -j3
 done
 echo "== known red"
 grep -E '^test: ' KNOWN-RED.txt || echo "none"
