--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -25,6 +25,14 @@
 /// Status that is never sent: the caller closed its connection.
 constexpr unsigned kCallerLeft = 499;
 
+unsigned StatusFor(const beast::error_code& aError)
+{
+  if (aError == http::error::header_limit) {
+    return 431;
+  }
+  return aError == http::error::body_limit ? 413 : 400;
+}
+
 HttpResponse NoCaller()
 {
   HttpResponse out;
@@ -219,9 +227,9 @@
   if (ec) {
     if (ec != http::error::end_of_stream && ec != beast::error::timeout &&
         ec != http::error::partial_message) {
-      co_await Answer(Refuse(ec == http::error::header_limit ? 431U : 400U,
-                             "request cannot be read: " + ec.message()),
-                      false, false);
+      co_await Answer(
+        Refuse(StatusFor(ec), "request cannot be read: " + ec.message()), false,
+        false);
     }
     co_return false;
   }
@@ -240,12 +248,10 @@
                             asio::redirect_error(asio::use_awaitable, ec));
   if (ec) {
     mServer->mBuffered -= length;
-    if (ec == http::error::body_limit) {
-      co_await Answer(Refuse(413, "body too large"), false, false);
-    } else if (ec != http::error::partial_message &&
-               ec != beast::error::timeout) {
-      co_await Answer(Refuse(400, "request cannot be read: " + ec.message()),
-                      false, false);
+    if (ec != http::error::partial_message && ec != beast::error::timeout) {
+      co_await Answer(
+        Refuse(StatusFor(ec), "request cannot be read: " + ec.message()), false,
+        false);
     }
     co_return false;
   }
--- a/testing/experiment/spread.cpp
+++ b/testing/experiment/spread.cpp
@@ -72,6 +72,11 @@
   Weigher weigher;
   const auto period = [&] {
     now += views[0].mTimes.mPeriod;
+    std::vector<std::uint64_t> held;
+    held.reserve(views.size());
+    for (const auto& it : views) {
+      held.push_back(it.mOwnNews.mVersion);
+    }
     for (std::size_t n = 0; n < views.size(); ++n) {
       if (dead[n]) {
         continue;
@@ -88,9 +93,12 @@
         TakeHeartbeat(views[n], reply, now);
         weigher.Note(sent);
         weigher.Note(reply);
+        // What reached an entry in this period goes on in the next one.
+        const auto newer = std::max(held[n], held[peer]);
         auto& one = views[n].mOwnNews.mVersion;
         auto& other = views[peer].mOwnNews.mVersion;
-        one = other = std::max(one, other);
+        one = std::max(one, newer);
+        other = std::max(other, newer);
       }
     }
   };
