--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -7,4 +7,4 @@
   g++ cmake ninja-build pkg-config ccache clang-format clang-tidy \
   libboost1.81-dev libboost-json1.81-dev libnghttp2-dev libspdlog-dev \
   libcli11-dev libyaml-cpp-dev libcriterion-dev libssl-dev libxxhash-dev \
-  libbenchmark-dev clang libclang-rt-14-dev gnuplot-nox
+  libbenchmark-dev python3 clang libclang-rt-14-dev gnuplot-nox
