Pass idle borrowed slots on through their owner

Cause: slots gathered at entries that had once borrowed them; a borrowed slot is not lent on, so peers that were short got nothing from entries with idle loans until the loan's term of 20 s ended. Change: an entry that is asked in vain gives one idle borrowed slot back to its owner and names the asker; the owner lends it to the asker.

--- a/src/daemon/loans.cpp
+++ b/src/daemon/loans.cpp
@@ -194,6 +194,42 @@
                            kBorrowTimeout);
 }
 
+/// The next idle slot of the region goes to this peer.
+void NoteAsker(ServiceState& aState, const BorrowQuestion& aQuestion,
+               TimePoint aAsked)
+{
+  auto& region = aState.mRegions[aQuestion.mRegion];
+  region.mAskers[aQuestion.mBorrower] = aAsked;
+  region.mAskersExclude = aQuestion.mExcluded;
+}
+
+/// Gives one idle borrowed slot back to its owner for a peer that asked here
+/// in vain: a borrowed slot is not lent on, but its owner may lend it again.
+void PassOn(Node& aNode, ServiceState& aState, const BorrowQuestion& aQuestion,
+            TimePoint aNow)
+{
+  bool taken = false;
+  const auto first = [&](const Loan& a) {
+    const auto& avoided = aQuestion.mExcluded;
+    const bool fits =
+      !taken && RegionOf(aState, a.mTarget) == aQuestion.mRegion &&
+      std::find(avoided.begin(), avoided.end(), a.mTarget) == avoided.end() &&
+      StatusOf(aNode.mView, a.mPeer, aNow) == MemberStatus::Alive;
+    taken = taken || fits;
+    return fits;
+  };
+  for (const auto& it : TakeIdleBorrowed(aState.mSlots, aNow, first)) {
+    ReturnMessage message;
+    message.mBorrower = aNode.mSelf.mEntry;
+    message.mService = aQuestion.mService;
+    message.mIds = { it.mId };
+    message.mFor = aQuestion;
+    asio::co_spawn(aNode.mContext,
+                   GiveBack(aNode, it.mPeer, std::move(message)),
+                   asio::detached);
+  }
+}
+
 /// Gives back idle loans of regions whose slots were not short lately.
 void ReturnIdle(Node& aNode, const std::string& aService, ServiceState& aState,
                 TimePoint aNow)
@@ -465,9 +501,8 @@
   query.mExcluded = question.mExcluded;
   message.mLoans = ToWire(Lend(state->mSlots, state->mService, query, now));
   if (message.mLoans.empty() && back.empty()) {
-    auto& region = state->mRegions[question.mRegion];
-    region.mAskers[question.mBorrower] = now;
-    region.mAskersExclude = question.mExcluded;
+    NoteAsker(*state, question, now);
+    PassOn(aNode, *state, question, now);
   }
   return ToJson(message);
 }
@@ -488,6 +523,11 @@
   for (auto& [region, waiting] : state->mRegions) {
     WakeWaiters(*state, region);
   }
+  if (message.mFor && message.mFor->mVersion == aNode.mAccepted.mVersion) {
+    // Asked before all others that wait here.
+    NoteAsker(*state, *message.mFor, Clock::now() - kAskerMemory / 2);
+    LendToAsker(aNode, message.mService, message.mFor->mRegion);
+  }
   return "{}";
 }
 
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -88,6 +88,8 @@
   std::string mBorrower;
   std::string mService;
   std::vector<std::uint64_t> mIds;
+  /// Set where a peer asked the borrower in vain: the slots go to it next.
+  std::optional<BorrowQuestion> mFor;
 };
 
 /// Slots that an entry gives away because it is about to stop.
@@ -138,7 +140,7 @@
 BOOST_DESCRIBE_STRUCT(OfferMessage, (),
                       (mLender, mIncarnation, mVersion, mService, mTerm,
                        mLoans))
-BOOST_DESCRIBE_STRUCT(ReturnMessage, (), (mBorrower, mService, mIds))
+BOOST_DESCRIBE_STRUCT(ReturnMessage, (), (mBorrower, mService, mIds, mFor))
 
 } // namespace detail
 } // namespace guavaline
--- a/testing/experiment/experiment.cpp
+++ b/testing/experiment/experiment.cpp
@@ -418,6 +418,7 @@
     }
     if (out.empty()) {
       peer.mAskers.push_back({ &aEntry, mNow });
+      PassOn(peer, aEntry);
     }
     return out;
   }
@@ -455,6 +456,23 @@
     });
   }
 
+  /// Gives an idle borrowed slot back to its owner for an entry that asked.
+  void PassOn(Entry& aHolder, Entry& aAsker)
+  {
+    bool one = false;
+    const auto first = [&](const Loan&) { return !std::exchange(one, true); };
+    const auto holder = std::to_string(&aHolder - mEntries.data());
+    for (const auto& it : TakeIdleBorrowed(aHolder.mSlots, mNow, first)) {
+      auto& owner = mEntries[std::stoul(it.mPeer)];
+      At(mNow + std::max(aHolder.mWay, owner.mWay),
+         [this, &owner, &aAsker, holder, it] {
+           EndLent(owner.mSlots, it.mId, holder);
+           owner.mAskers.push_front({ &aAsker, mNow });
+           LendToAsker(owner);
+         });
+    }
+  }
+
   void AskPeer(Entry& aEntry, TimePoint aAsked,
                const std::vector<std::size_t>& aPeers, std::size_t aTry)
   {
