--- a/src/daemon/adoption.cpp
+++ b/src/daemon/adoption.cpp
@@ -1,5 +1,6 @@
 #include "daemon/adoption.hpp"
 
+#include "daemon/handover.hpp"
 #include "daemon/loans.hpp"
 #include "daemon/log.hpp"
 #include "peers/messages.hpp"
--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -1,6 +1,7 @@
 #include "daemon/gossip.hpp"
 
 #include "daemon/adoption.hpp"
+#include "daemon/handover.hpp"
 #include "daemon/loans.hpp"
 #include "daemon/log.hpp"
 #include "peers/messages.hpp"
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -3,6 +3,7 @@
 #include "daemon/adoption.hpp"
 #include "daemon/callers_api.hpp"
 #include "daemon/gossip.hpp"
+#include "daemon/handover.hpp"
 #include "daemon/loans.hpp"
 #include "daemon/log.hpp"
 #include "daemon/probes.hpp"
--- a/src/forwarding/placement.cpp
+++ b/src/forwarding/placement.cpp
@@ -77,24 +77,16 @@
   return PickRegion(aState.mShares[place]);
 }
 
-std::uint32_t UsableIn(const ServiceState& aState, const std::string& aRegion,
-                       TimePoint aNow, TimePoint aUntil)
+/// Adds up slots of a region's eligible targets.
+/// @param aCount  UsableSlots or FreeSlots
+template<class Count>
+std::uint32_t SlotsIn(const ServiceState& aState, const std::string& aRegion,
+                      TimePoint aNow, TimePoint aUntil, Count aCount)
 {
   std::uint32_t n = 0;
   for (const auto it :
        EligibleTargets(aState.mService, aRegion, aState.mHealth, aNow)) {
-    n += UsableSlots(aState.mSlots, it, aNow, aUntil);
-  }
-  return n;
-}
-
-std::uint32_t FreeIn(const ServiceState& aState, const std::string& aRegion,
-                     TimePoint aNow, TimePoint aUntil)
-{
-  std::uint32_t n = 0;
-  for (const auto it :
-       EligibleTargets(aState.mService, aRegion, aState.mHealth, aNow)) {
-    n += FreeSlots(aState.mSlots, it, aNow, aUntil);
+    n += aCount(aState.mSlots, it, aNow, aUntil);
   }
   return n;
 }
@@ -136,7 +128,7 @@
   if (!target || !TakeSlot(aState.mSlots, *target, now, aQuery.mDeadline)) {
     return std::nullopt;
   }
-  if (FreeIn(aState, aRegion, now, aQuery.mDeadline) < kFewSlots) {
+  if (SlotsIn(aState, aRegion, now, aQuery.mDeadline, FreeSlots) < kFewSlots) {
     WantSlots(aNode, aQuery.mService, aRegion);
   }
   return SlotHold(aNode, aQuery.mService, *target);
@@ -156,7 +148,7 @@
   QueueQuery query;
   query.mAhead =
     Ahead(aState.mRegions[aRegion].mQueue, aQuery.mClass.mPriority);
-  query.mUsable = UsableIn(aState, aRegion, aNow, aNow);
+  query.mUsable = SlotsIn(aState, aRegion, aNow, aNow, UsableSlots);
   query.mServiceTime = ServiceTimeOf(aState, aQuery.mClass.mName);
   query.mLeft = std::chrono::duration_cast<Millis>(aQuery.mDeadline - aNow);
   return ShouldQueue(query);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,7 @@
 #include "http/server.hpp"
 
+#include "http/listen.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -22,6 +24,7 @@
 namespace {
 
 constexpr std::size_t kPeekBytes = 1;
+constexpr std::size_t kFirstReadBytes = 4'096;
 /// Status that is never sent: the caller closed its connection.
 constexpr unsigned kCallerLeft = 499;
 
@@ -75,7 +78,13 @@
   void Cut();
 
 private:
+  using RequestParser = http::request_parser<http::string_body>;
+
   asio::awaitable<bool> ServeOne();
+  asio::awaitable<bool> AwaitBytes();
+  asio::awaitable<void> RefuseBroken(beast::error_code aError);
+  asio::awaitable<void> Continue();
+  asio::awaitable<bool> AnswerRequest(RequestParser& aParser);
   asio::awaitable<void> Answer(HttpResponse aResponse, bool aKeepAlive,
                                bool aHead);
   asio::awaitable<HttpResponse> Handle(HttpRequest aRequest);
@@ -203,60 +212,84 @@
   }
 }
 
-asio::awaitable<bool> HttpConnection::ServeOne()
+asio::awaitable<bool> HttpConnection::AwaitBytes()
 {
-  const auto& limits = mServer->mLimits;
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(limits.mMostHeaderBytes);
-  parser.body_limit(limits.mMostBodyBytes);
   beast::error_code ec;
-
   if (mBuffer.size() == 0) {
-    mStream.expires_after(limits.mIdleTimeout);
+    mStream.expires_after(mServer->mLimits.mIdleTimeout);
     const auto n = co_await mStream.async_read_some(
-      mBuffer.prepare(4'096), asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-      co_return false;
-    }
+      mBuffer.prepare(kFirstReadBytes),
+      asio::redirect_error(asio::use_awaitable, ec));
     mBuffer.commit(n);
   }
+  co_return !ec;
+}
+
+asio::awaitable<void> HttpConnection::RefuseBroken(beast::error_code aError)
+{
+  const bool gone = aError == http::error::end_of_stream ||
+                    aError == http::error::partial_message ||
+                    aError == beast::error::timeout;
+  if (!gone) {
+    co_await Answer(
+      Refuse(StatusFor(aError), "request cannot be read: " + aError.message()),
+      false, false);
+  }
+}
+
+asio::awaitable<void> HttpConnection::Continue()
+{
+  beast::error_code ec;
+  http::response<http::empty_body> go(http::status::continue_, 11);
+  co_await http::async_write(mStream, go,
+                             asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<bool> HttpConnection::ServeOne()
+{
+  const auto& limits = mServer->mLimits;
+  if (!co_await AwaitBytes()) {
+    co_return false;
+  }
   mBusy = true;
+  RequestParser parser;
+  parser.header_limit(limits.mMostHeaderBytes);
+  parser.body_limit(limits.mMostBodyBytes);
+  beast::error_code ec;
   mStream.expires_after(limits.mReceiveTimeout);
   co_await http::async_read_header(
     mStream, mBuffer, parser, asio::redirect_error(asio::use_awaitable, ec));
   if (ec) {
-    if (ec != http::error::end_of_stream && ec != beast::error::timeout &&
-        ec != http::error::partial_message) {
-      co_await Answer(
-        Refuse(StatusFor(ec), "request cannot be read: " + ec.message()), false,
-        false);
-    }
+    co_await RefuseBroken(ec);
     co_return false;
   }
-  const auto length = parser.content_length().value_or(0);
+  // A body without a length may become as large as is allowed.
+  const auto length = parser.content_length().value_or(
+    parser.chunked() ? limits.mMostBodyBytes : 0);
   if (mServer->mBuffered + length > limits.mMostBufferedBytes) {
     co_await Answer(Refuse(503, "too many bytes in flight"), false, false);
     co_return false;
   }
   if (parser.get()[http::field::expect] == "100-continue") {
-    http::response<http::empty_body> go(http::status::continue_, 11);
-    co_await http::async_write(mStream, go,
-                               asio::redirect_error(asio::use_awaitable, ec));
+    co_await Continue();
   }
   mServer->mBuffered += length;
   co_await http::async_read(mStream, mBuffer, parser,
                             asio::redirect_error(asio::use_awaitable, ec));
+  bool keep = false;
   if (ec) {
-    mServer->mBuffered -= length;
-    if (ec != http::error::partial_message && ec != beast::error::timeout) {
-      co_await Answer(
-        Refuse(StatusFor(ec), "request cannot be read: " + ec.message()), false,
-        false);
-    }
-    co_return false;
+    co_await RefuseBroken(ec);
+  } else {
+    keep = co_await AnswerRequest(parser);
   }
+  mServer->mBuffered -= length;
+  mBusy = false;
+  co_return keep;
+}
 
-  auto message = parser.release();
+asio::awaitable<bool> HttpConnection::AnswerRequest(RequestParser& aParser)
+{
+  auto message = aParser.release();
   HttpRequest request;
   request.mMethod = message.method_string();
   request.mTarget = message.target();
@@ -267,18 +300,15 @@
   request.mBody = std::move(message.body());
   request.mConnection = mId;
   const bool head = request.mMethod == "HEAD";
-
   ++mServer->mInFlight;
   mStream.expires_never();
   auto response = co_await Handle(std::move(request));
-  const bool keep = message.keep_alive() && !mServer->mDraining &&
-                    response.mStatus != kCallerLeft;
-  if (response.mStatus != kCallerLeft) {
+  const bool present = response.mStatus != kCallerLeft;
+  const bool keep = present && message.keep_alive() && !mServer->mDraining;
+  if (present) {
     co_await Answer(std::move(response), keep, head);
   }
   --mServer->mInFlight;
-  mServer->mBuffered -= length;
-  mBusy = false;
   co_return keep&& mStream.socket().is_open();
 }
 
@@ -340,23 +370,10 @@
                                HttpHandler aHandler,
                                const HttpServerLimits& aLimits)
 {
-  beast::error_code ec;
-  const auto address = asio::ip::make_address(aAddress, ec);
-  if (ec) {
-    return aAddress + " is not an IP number";
-  }
   mState.reset(new HttpServerState(aContext, std::move(aHandler), aLimits));
-  auto& acceptor = mState->mAcceptor;
-  const tcp::endpoint endpoint(address, aPort);
-  acceptor.open(endpoint.protocol(), ec);
-  acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-  acceptor.bind(endpoint, ec);
-  if (!ec) {
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return "listen " + aAddress + ":" + std::to_string(aPort) + ": " +
-           ec.message();
+  auto problem = ListenOn(mState->mAcceptor, aAddress, aPort);
+  if (!problem.empty()) {
+    return problem;
   }
   asio::co_spawn(aContext, AcceptAll(mState), asio::detached);
   return {};
--- a/src/peers/peer_link.cpp
+++ b/src/peers/peer_link.cpp
@@ -1,5 +1,6 @@
 #include "peers/peer_link.hpp"
 
+#include "http/listen.hpp"
 #include "peers/peer_session.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -138,24 +139,11 @@
                                std::string aKey, PeerHandler aHandler,
                                PeerFilter aFilter)
 {
-  boost::system::error_code ec;
-  const auto address = asio::ip::make_address(aAddress, ec);
-  if (ec) {
-    return aAddress + " is not an IP number";
-  }
   mState.reset(new PeerServerState(aContext, std::move(aKey),
                                    std::move(aHandler), std::move(aFilter)));
-  auto& acceptor = mState->mAcceptor;
-  const tcp::endpoint endpoint(address, aPort);
-  acceptor.open(endpoint.protocol(), ec);
-  acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-  acceptor.bind(endpoint, ec);
-  if (!ec) {
-    acceptor.listen(asio::socket_base::max_listen_connections, ec);
-  }
-  if (ec) {
-    return "listen " + aAddress + ":" + std::to_string(aPort) + ": " +
-           ec.message();
+  auto problem = ListenOn(mState->mAcceptor, aAddress, aPort);
+  if (!problem.empty()) {
+    return problem;
   }
   asio::co_spawn(aContext, AcceptPeers(mState), asio::detached);
   return {};
--- a/testing/load/driver.cpp
+++ b/testing/load/driver.cpp
@@ -67,26 +67,14 @@
 }
 
 /// The answer's own words on which request it belongs to.
-std::string DigestIn(const std::string& aBody)
+std::string FieldIn(const std::string& aBody, const char* aField)
 {
   boost::json::error_code ec;
   const auto value = boost::json::parse(aBody, ec);
   if (ec || !value.is_object()) {
     return {};
   }
-  const auto* it = value.get_object().if_contains("digest");
-  return it != nullptr && it->is_string() ? std::string(it->get_string())
-                                          : std::string();
-}
-
-std::string IdentityIn(const std::string& aBody)
-{
-  boost::json::error_code ec;
-  const auto value = boost::json::parse(aBody, ec);
-  if (ec || !value.is_object()) {
-    return {};
-  }
-  const auto* it = value.get_object().if_contains("identity");
+  const auto* it = value.get_object().if_contains(aField);
   return it != nullptr && it->is_string() ? std::string(it->get_string())
                                           : std::string();
 }
@@ -205,8 +193,8 @@
     out.mRan = detail::FindHeader(response.mHeaders, "Guavaline-Ran");
     out.mOutcome = detail::FindHeader(response.mHeaders, "Guavaline-Reason");
     if (out.mRan == "yes") {
-      out.mDigest = DigestIn(response.mBody);
-      if (IdentityIn(response.mBody) != aIdentity) {
+      out.mDigest = FieldIn(response.mBody, "digest");
+      if (FieldIn(response.mBody, "identity") != aIdentity) {
         out.mDigest = "another identity";
       }
     }
--- a/tests/failure/entries_test.cpp
+++ b/tests/failure/entries_test.cpp
@@ -9,18 +9,11 @@
 
 constexpr double kLoad = 0.4;
 
-ClusterOptions Named(const char* aName)
-{
-  ClusterOptions out;
-  out.mName = aName;
-  return out;
-}
-
 } // namespace
 
 Test(entries, calm, .timeout = 120)
 {
-  Cluster cluster(Named("calm"));
+  Cluster cluster(tests::Named("calm"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(4'000)));
   cluster.AwaitLoad();
@@ -32,7 +25,7 @@
 
 Test(entries, killed_and_replaced, .timeout = 120)
 {
-  Cluster cluster(Named("killed"));
+  Cluster cluster(tests::Named("killed"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(8'000)));
   Pause(Millis(1'500));
@@ -49,7 +42,7 @@
 
 Test(entries, paused_beyond_every_lease_and_woken, .timeout = 180)
 {
-  Cluster cluster(Named("paused"));
+  Cluster cluster(tests::Named("paused"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(26'000)));
   Pause(Millis(1'500));
@@ -66,7 +59,7 @@
 
 Test(entries, paused_for_moments_again_and_again, .timeout = 180)
 {
-  Cluster cluster(Named("moments"));
+  Cluster cluster(tests::Named("moments"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(10'000)));
   for (int n = 0; n < 6; ++n) {
@@ -83,7 +76,7 @@
 
 Test(entries, planned_stops_cut_nothing, .timeout = 180)
 {
-  Cluster cluster(Named("stops"));
+  Cluster cluster(tests::Named("stops"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(10'000)));
   for (const auto* it : { "region1a1", "region2a1", "region3a1" }) {
@@ -103,7 +96,7 @@
 
 Test(entries, parted_from_each_other, .timeout = 180)
 {
-  Cluster cluster(Named("parted"));
+  Cluster cluster(tests::Named("parted"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(14'000)));
   Pause(Millis(1'000));
--- a/tests/failure/expect.cpp
+++ b/tests/failure/expect.cpp
@@ -6,6 +6,13 @@
 
 namespace guavaline::tests {
 
+testing::ClusterOptions Named(const char* aName)
+{
+  testing::ClusterOptions out;
+  out.mName = aName;
+  return out;
+}
+
 EndCounts CountEnds(testing::Cluster& aCluster)
 {
   EndCounts out;
--- a/tests/failure/expect.hpp
+++ b/tests/failure/expect.hpp
@@ -16,6 +16,9 @@
   std::uint64_t mUnknown = 0;
 };
 
+/// @returns the usual size of a deployment
+[[nodiscard]] testing::ClusterOptions Named(const char* aName);
+
 [[nodiscard]] EndCounts CountEnds(testing::Cluster& aCluster);
 
 /// @returns attempts that were sent and cut off without an answer
--- a/tests/failure/store_test.cpp
+++ b/tests/failure/store_test.cpp
@@ -13,13 +13,6 @@
 constexpr double kLoad = 0.4;
 constexpr Millis kBound{ 60'000 };
 
-ClusterOptions Named(const char* aName)
-{
-  ClusterOptions out;
-  out.mName = aName;
-  return out;
-}
-
 Configuration WithTtl(Configuration aConfiguration, Millis aTtl)
 {
   aConfiguration.mLookupTtl = aTtl;
@@ -45,7 +38,7 @@
 
 Test(store, out_for_longer_than_every_lease, .timeout = 240)
 {
-  Cluster cluster(Named("store-out"));
+  Cluster cluster(tests::Named("store-out"));
   cr_assert(cluster.Start());
   cluster.SetStore({ true, Millis(0), 0 });
   cluster.StartLoad(cluster.Plan(kLoad, Millis(26'000)));
@@ -62,7 +55,7 @@
 
 Test(store, lost_just_after_acceptance, .timeout = 240)
 {
-  Cluster cluster(Named("store-lost"));
+  Cluster cluster(tests::Named("store-lost"));
   cr_assert(cluster.Start());
   // Only one entry hears of the change before the store goes.
   for (const auto& it : cluster.EntryNames()) {
@@ -85,7 +78,7 @@
 
 Test(store, versions_never_go_back, .timeout = 240)
 {
-  Cluster cluster(Named("versions"));
+  Cluster cluster(tests::Named("versions"));
   cr_assert(cluster.Start());
   std::uint64_t version = 0;
   cluster.PauseEntry("region3a1");
@@ -111,7 +104,7 @@
 
 Test(store, a_lost_answer_is_settled_by_reading_back, .timeout = 120)
 {
-  Cluster cluster(Named("lost-answer"));
+  Cluster cluster(tests::Named("lost-answer"));
   cr_assert(cluster.Start());
   const AcceptedConfiguration base{ 1, cluster.Accepted() };
   const auto changed = WithTtl(cluster.Accepted(), Millis(1'234));
@@ -126,7 +119,7 @@
 
 Test(store, of_two_operators_one_gets_a_conflict, .timeout = 120)
 {
-  Cluster cluster(Named("operators"));
+  Cluster cluster(tests::Named("operators"));
   cr_assert(cluster.Start());
   const AcceptedConfiguration base{ 1, cluster.Accepted() };
   const auto one = WithTtl(cluster.Accepted(), Millis(1'111));
@@ -137,7 +130,7 @@
 
 Test(store, slow_answers_hold_nobody_up, .timeout = 120)
 {
-  Cluster cluster(Named("store-slow"));
+  Cluster cluster(tests::Named("store-slow"));
   cr_assert(cluster.Start());
   cluster.SetStore({ false, Millis(1'500), 0 });
   cluster.StartLoad(cluster.Plan(kLoad, Millis(5'000)));
--- a/tests/failure/targets_test.cpp
+++ b/tests/failure/targets_test.cpp
@@ -12,13 +12,6 @@
 
 constexpr double kLoad = 0.4;
 
-ClusterOptions Named(const char* aName)
-{
-  ClusterOptions out;
-  out.mName = aName;
-  return out;
-}
-
 /// One stream of equal calls.
 LoadPlan Only(LoadPlan aPlan, const std::string& aClass,
               const std::string& aBody, double aPerSecond)
@@ -38,7 +31,7 @@
 
 Test(targets, leaving_by_health_get_no_new_work, .timeout = 120)
 {
-  Cluster cluster(Named("leaving"));
+  Cluster cluster(tests::Named("leaving"));
   cr_assert(cluster.Start());
   cluster.SetStore({ true, Millis(0), 0 });
   cluster.StartLoad(cluster.Plan(kLoad, Millis(9'000)));
@@ -57,7 +50,7 @@
 
 Test(targets, leaving_by_their_answers_get_no_new_work, .timeout = 120)
 {
-  Cluster cluster(Named("answers"));
+  Cluster cluster(tests::Named("answers"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(8'000)));
   Pause(Millis(1'500));
@@ -79,7 +72,7 @@
 
 Test(targets, crashes_leave_no_false_word, .timeout = 120)
 {
-  Cluster cluster(Named("crashes"));
+  Cluster cluster(tests::Named("crashes"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(8'000)));
   for (int n = 0; n < 5; ++n) {
@@ -98,7 +91,7 @@
 
 Test(targets, a_lost_region_is_left_under_the_cap, .timeout = 180)
 {
-  auto options = Named("region-lost");
+  auto options = tests::Named("region-lost");
   options.mShiftCapPercent = 10;
   options.mShiftCapWindow = Millis(1'000);
   Cluster cluster(options);
@@ -118,7 +111,7 @@
 
 Test(targets, connections_that_go_silent_are_given_up, .timeout = 180)
 {
-  Cluster cluster(Named("silent"));
+  Cluster cluster(tests::Named("silent"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad, Millis(12'000)));
   Pause(Millis(2'000));
@@ -135,7 +128,7 @@
 Test(targets, a_request_that_crashes_targets_is_not_walked_through_them,
      .timeout = 180)
 {
-  Cluster cluster(Named("crasher"));
+  Cluster cluster(tests::Named("crasher"));
   cr_assert(cluster.Start());
   cluster.StartLoad(cluster.Plan(kLoad * 0.5, Millis(9'000)));
   // Its callers send it again and again, each time as a new request.
@@ -154,7 +147,7 @@
 
 Test(targets, answers_that_are_dropped_are_never_run_again, .timeout = 120)
 {
-  Cluster cluster(Named("dropped"));
+  Cluster cluster(tests::Named("dropped"));
   cr_assert(cluster.Start());
   cluster.EachTarget("region1", [](TargetStandin& a) {
     a.Behaviour().mDropAnswers = a.About().mName.back() == '1';
@@ -166,7 +159,7 @@
 
 Test(targets, a_planned_drain_empties_a_region_under_the_cap, .timeout = 180)
 {
-  auto options = Named("drain");
+  auto options = tests::Named("drain");
   options.mShiftCapPercent = 10;
   options.mShiftCapWindow = Millis(1'000);
   options.mTargetsPerDomain = 4;
