Make the drain's shift check able to fail

Cause: scripts/prove_checks.sh showed that the drain test passes with the cap switched off: at 10 % a second a third of the traffic may move at once within the check's window of 4 s. Ruled out: a fault of the checker (its sum over regions is right). Change: cap 5 % a second and windows of 2 s, which allow 0.15 where an uncapped move shows 0.33; stricter than before.

--- a/tests/failure/targets_test.cpp
+++ b/tests/failure/targets_test.cpp
@@ -160,28 +160,28 @@
 Test(targets, a_planned_drain_empties_a_region_under_the_cap, .timeout = 180)
 {
   auto options = tests::Named("drain");
-  options.mShiftCapPercent = 10;
+  options.mShiftCapPercent = 5;
   options.mShiftCapWindow = Millis(1'000);
   options.mTargetsPerDomain = 4;
   Cluster cluster(options);
   cr_assert(cluster.Start());
-  cluster.StartLoad(cluster.Plan(0.3, Millis(32'000)));
+  cluster.StartLoad(cluster.Plan(0.3, Millis(42'000)));
   Pause(Millis(1'000));
   auto configuration = cluster.Accepted();
   const auto now =
     std::chrono::floor<Seconds>(std::chrono::system_clock::now());
-  // All of its traffic moves within 10 s and the clocks' bound.
+  // All of its traffic moves within 20 s and the clocks' bound.
   configuration.mDrains.push_back({ "works", DrainScope::Region, "region2",
-                                    now + Seconds(16), now + Seconds(3600) });
+                                    now + Seconds(26), now + Seconds(3600) });
   configuration.mChangeId = ContentId(configuration);
   cr_assert_gt(cluster.Change(configuration, true), 0U);
   // The store goes; the drain is part of what every entry holds.
   cluster.SetStore({ true, Millis(0), 0 });
-  Pause(Millis(15'500));
+  Pause(Millis(25'500));
   const auto drained = NowMicros();
   cluster.AwaitLoad();
   CheckOptions check;
-  check.mShiftWindow = Millis(4'000);
+  check.mShiftWindow = Millis(2'000);
   // Random arrivals move a window's shares by a few percent.
   check.mShiftNoise = 0.05;
   tests::ExpectNoViolation(cluster, check);
