Let a slow target's latency fade although probes go on

Cause: found by reading the change again: each probe, once a second, set the time from which a latency fades, so that in the daemon none ever faded and a target left out as slow was not tried again. Ruled out: the fading itself (its unit test passes without probes). Before: health::probes_do_not_keep_an_old_latency_fresh fails.

--- a/include/guavaline/targets/health.hpp
+++ b/include/guavaline/targets/health.hpp
@@ -24,7 +24,7 @@
   std::uint32_t mFailures = 0;  ///< Failed exchanges in a row.
   std::uint32_t mEjections = 0; ///< Ejections since it last worked.
   TimePoint mEjectedUntil{};
-  TimePoint mMeasured{}; ///< Time of the last exchange or probe.
+  TimePoint mMeasured{}; ///< Time of the last exchange.
 };
 
 /// Notes a whole answer.
@@ -38,9 +38,9 @@
 /// endpoint that lags does not take it back; a restart does.
 void NoteSaidLeaving(TargetHealth& aHealth) noexcept;
 
-/// Notes the result of a probe of the health endpoint.
-void NoteProbe(TargetHealth& aHealth, bool aReachable, bool aLeaving,
-               TimePoint aNow) noexcept;
+/// Notes the result of a probe of the health endpoint. It says nothing of the
+/// latency, whose measurement goes on fading.
+void NoteProbe(TargetHealth& aHealth, bool aReachable, bool aLeaving) noexcept;
 
 /// @returns true where new work may go to the target
 [[nodiscard]] bool IsEligible(const TargetHealth& aHealth,
--- a/src/daemon/probes.cpp
+++ b/src/daemon/probes.cpp
@@ -70,7 +70,7 @@
     NoteFailure(*health, Clock::now());
     co_return;
   }
-  NoteProbe(*health, reachable, report.mLeaving, Clock::now());
+  NoteProbe(*health, reachable, report.mLeaving);
 }
 
 } // namespace
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -107,7 +107,7 @@
   }
   NoteFailure(health, now);
   if (aResult.mConnectFailed && !aResult.mTimedOut) {
-    NoteProbe(health, false, false, now);
+    NoteProbe(health, false, false);
   }
   const bool broke = aResult.mMayHaveReached && !aResult.mTimedOut;
   if (broke) {
--- a/src/targets/health.cpp
+++ b/src/targets/health.cpp
@@ -93,15 +93,13 @@
   aHealth.mSaidLeaving = true;
 }
 
-void NoteProbe(TargetHealth& aHealth, bool aReachable, bool aLeaving,
-               TimePoint aNow) noexcept
+void NoteProbe(TargetHealth& aHealth, bool aReachable, bool aLeaving) noexcept
 {
   if (!aReachable) {
     aHealth.mSaidLeaving = false;
   }
   aHealth.mReachable = aReachable;
   aHealth.mLeaving = aLeaving;
-  aHealth.mMeasured = std::max(aHealth.mMeasured, aNow);
 }
 
 bool IsEligible(const TargetHealth& aHealth, TimePoint aNow) noexcept
--- a/tests/unit/health_test.cpp
+++ b/tests/unit/health_test.cpp
@@ -22,11 +22,11 @@
 {
   TargetHealth health;
   NoteSaidLeaving(health);
-  NoteProbe(health, true, false, kNow);
+  NoteProbe(health, true, false);
   cr_assert_not(IsEligible(health, kNow));
   // It stops, and comes back as a new process.
-  NoteProbe(health, false, false, kNow);
-  NoteProbe(health, true, false, kNow);
+  NoteProbe(health, false, false);
+  NoteProbe(health, true, false);
   cr_assert(IsEligible(health, kNow));
 }
 
@@ -64,7 +64,7 @@
   const auto service = tests::OneRegionService(2, 1);
   std::vector<TargetHealth> health(2);
   for (auto& it : health) {
-    NoteProbe(it, false, false, kNow);
+    NoteProbe(it, false, false);
   }
   cr_assert(EligibleTargets(service, "r1", health, kNow).empty());
 }
@@ -116,3 +116,19 @@
   }
   cr_assert(ChooseTarget(query, slots, health, Zero).has_value());
 }
+
+Test(health, probes_do_not_keep_an_old_latency_fresh)
+{
+  const auto service = tests::OneRegionService(8, 1);
+  std::vector<TargetHealth> health(8);
+  NoteSuccess(health[3], 1'000ms, kNow);
+  for (auto now = kNow; now <= kNow + 80s; now += 1s) {
+    for (std::size_t n = 0; n < health.size(); ++n) {
+      if (n != 3) {
+        NoteSuccess(health[n], 10ms, now);
+      }
+      NoteProbe(health[n], true, false);
+    }
+  }
+  cr_assert(AvoidedTargets(service, "r1", health, kNow + 80s).empty());
+}
