--- a/include/guavaline/admission/budgets.hpp
+++ b/include/guavaline/admission/budgets.hpp
@@ -35,6 +35,8 @@
 struct RetryBudget
 {
   double mTokens = 10;
+  double mPerRequest = 0.1; ///< Retries earned by each first attempt.
+  double mMost = 50;        ///< Retries that may be saved up.
 };
 
 /// Adds to the budget for a first attempt.
--- /dev/null
+++ b/include/guavaline/placement/placement.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+/// Choice of the target for a request. Entries agree without talking on the
+/// owners of each object (rendezvous hashing); among the owners and the
+/// targets known to be warm, the one with the earliest expected end is taken.
+/// Spilled requests of an object so meet at its next owner and find it warm.
+
+#include <guavaline/placement/service_time.hpp>
+#include <guavaline/registry/registry.hpp>
+#include <guavaline/routing/routes.hpp>
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace guavaline {
+
+/// A request to be placed.
+struct PlacementRequest
+{
+  const Route& mRoute;
+  const std::string& mService;
+  std::uint64_t mKey = 0; ///< Hash of its object.
+  TimePoint mDeadline;
+  std::set<std::string> mExcluded; ///< Ids of targets that failed it.
+};
+
+/// What an entry knows when it places requests.
+struct PlacementView
+{
+  const TargetRegistry& mRegistry;
+  const RoundTrips& mTrips;
+  const WarmTable& mWarm;
+  const RunTimes& mRunTimes; ///< Of the request's route.
+  std::size_t mEntries = 1;  ///< Entries that share the targets.
+};
+
+/// Why there is no target.
+enum class PlacementRefusal {
+  None = 1,
+  NoTarget, ///< None may serve it.
+  Full,     ///< All that should serve it have long queues.
+  TooLate,  ///< It would not end before its deadline.
+};
+
+struct PlacementChoice
+{
+  TargetPtr mTarget;
+  PlacementRefusal mRefusal = PlacementRefusal::None;
+  Warmth mWarmth = Warmth::Unlikely;
+  Millis mRoundTrip{ 0 };
+  Millis mWait{ 0 };     ///< Expected in the target's queue.
+  Millis mRun{ 0 };      ///< Expected without waiting.
+  Millis mClearsIn{ 0 }; ///< When refused: when there should be room.
+};
+
+/// Chooses a target.
+[[nodiscard]] PlacementChoice ChooseOwner(const PlacementView& aView,
+                                          const PlacementRequest& aRequest,
+                                          TimePoint aNow);
+
+/// @returns true where a cold target may get one more request from this
+///          entry now; all entries together stay below its rate
+[[nodiscard]] bool MaySendCold(const LiveTarget& aTarget, double aColdRate,
+                               std::size_t aEntries, TimePoint aNow) noexcept;
+
+} // namespace guavaline
--- /dev/null
+++ b/include/guavaline/registry/registry.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+/// The targets that may serve, as they register themselves. A target that
+/// leaves or vanishes gets no new work at once; one whose registration lapsed
+/// while the registry itself was unreachable keeps its work for a grace
+/// period in which it can come back.
+
+#include <guavaline/core/time.hpp>
+#include <guavaline/placement/load.hpp>
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace guavaline {
+
+/// What a target says of itself.
+struct Registration
+{
+  std::string mId;
+  std::string mService;
+  std::string mAddress; ///< "IP:PORT".
+  std::string mFailureDomain;
+  std::uint32_t mSlots = 0;
+  bool mDraining = false;
+  Millis mColdLeft{ 0 };     ///< How much longer it stays cold.
+  std::int64_t mStarted = 0; ///< Start in Unix milliseconds; tells lives apart.
+};
+
+/// One life of a target; requests in flight keep it alive after its removal.
+struct LiveTarget : boost::intrusive_ref_counter<LiveTarget>
+{
+  Registration mRegistration;
+  std::string mRegion;
+  std::uint64_t mHash = 0; ///< Of the id, for rendezvous hashing.
+  TimePoint mColdUntil{};
+  /// Until when it may be used although its registration has lapsed.
+  std::optional<TimePoint> mLapsesAt;
+  /// Set once it left, drains, or another process answers at its address.
+  bool mLeft = false;
+  TargetLoad mLoad;
+};
+
+using TargetPtr = boost::intrusive_ptr<LiveTarget>;
+
+/// Failure domains and the regions they lie in.
+using DomainMap = std::map<std::string, std::string>;
+
+struct TargetRegistry
+{
+  DomainMap mDomains;
+  std::map<std::string, TargetPtr> mTargets; ///< By id.
+  std::map<std::string, std::vector<TargetPtr>> mByService;
+  std::set<std::string> mEvacuated; ///< Failure domains that get no work.
+  TimePoint mTroubleUntil{};        ///< Lapses until then may be false.
+};
+
+/// What a change did to a target.
+enum class RegistryChange {
+  None = 1,
+  Joined,
+  Restarted, ///< A new life under the same id.
+  Draining,
+  Lapsed, ///< Missing; kept for the grace period.
+  Left,
+};
+
+/// How long a lapsed registration may be kept after trouble of the registry.
+/// From the platform's pages: entries are back two seconds after its return.
+inline constexpr Millis kLapseGrace{ 2'000 };
+
+/// Takes in a registration.
+RegistryChange TakeRegistration(TargetRegistry& aRegistry,
+                                const Registration& aRegistration,
+                                TimePoint aNow);
+
+/// Takes in that a registration is gone.
+RegistryChange TakeRemoval(TargetRegistry& aRegistry, const std::string& aId,
+                           TimePoint aNow);
+
+/// Takes in the whole list: targets that are not on it are gone.
+void TakeWholeList(TargetRegistry& aRegistry,
+                   const std::vector<Registration>& aList, TimePoint aNow);
+
+/// Notes that the registry could not be reached until now.
+void NoteRegistryTrouble(TargetRegistry& aRegistry, TimePoint aNow) noexcept;
+
+/// Removes targets whose grace period has ended.
+void ForgetLapsed(TargetRegistry& aRegistry, TimePoint aNow);
+
+/// @returns true where new work may go to a target
+[[nodiscard]] bool MayServe(const TargetRegistry& aRegistry,
+                            const LiveTarget& aTarget, TimePoint aNow);
+
+} // namespace guavaline
--- /dev/null
+++ b/include/guavaline/roster/roster.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+/// The entries of the system: which there are, from the store, and which of
+/// them live, from heartbeats between the entries of a region. Callers are
+/// told of live entries of their own region.
+
+#include <guavaline/core/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace guavaline {
+
+/// What an entry says of itself in the store.
+struct EntryRecord
+{
+  std::string mName;
+  std::uint64_t mIncarnation = 0;
+  std::string mCallerAddress; ///< "IP:PORT" at which it serves callers.
+  std::string mPeerAddress;   ///< "IP:PORT" for calls of other entries.
+  std::string mPeerKey;       ///< Calls to it carry this key.
+  std::string mFailureDomain;
+  std::string mRegion;
+  std::uint64_t mRevision = 0; ///< Of the stored object.
+
+  bool operator==(const EntryRecord&) const = default;
+};
+
+/// One entry of the roster.
+struct RosterEntry
+{
+  EntryRecord mRecord;
+  std::uint64_t mCounter = 0; ///< Of its heartbeats.
+  TimePoint mHeard{};         ///< When the counter or record last was new.
+  bool mLeaving = false;
+};
+
+/// News of one entry in heartbeats.
+struct EntryNews
+{
+  std::string mName;
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mCounter = 0;
+  bool mLeaving = false;
+};
+
+struct Roster
+{
+  EntryRecord mSelf;
+  std::uint64_t mOwnCounter = 1;
+  bool mLeaving = false;
+  std::map<std::string, RosterEntry> mOthers; ///< By name.
+  std::size_t mMostSeen = 1; ///< Most entries known at once in this life.
+  TimePoint mHeardAny{};     ///< When any news of another entry came.
+};
+
+/// Time between heartbeats, from the bound on how long a directory may name
+/// an entry that has ended: seven periods fit.
+inline constexpr Millis kHeartbeatPeriod{ 600 };
+/// Silence after which an entry is taken as dead.
+inline constexpr Millis kEntrySilence{ 3'500 };
+/// Silence after which the record of an entry is removed from the store.
+inline constexpr Millis kForgetSilence{ 12'000 };
+
+/// Takes in a stored record.
+void TakeRecord(Roster& aRoster, const EntryRecord& aRecord, TimePoint aNow);
+
+/// Takes in that a record is gone.
+void TakeRecordRemoval(Roster& aRoster, const std::string& aName);
+
+/// Takes in all records.
+void TakeAllRecords(Roster& aRoster, const std::vector<EntryRecord>& aList,
+                    TimePoint aNow);
+
+/// @returns the news to tell a peer: the own and those of the own region
+[[nodiscard]] std::vector<EntryNews> TellNews(const Roster& aRoster,
+                                              TimePoint aNow);
+
+/// Takes in a peer's news.
+void HearNews(Roster& aRoster, const std::vector<EntryNews>& aNews,
+              TimePoint aNow);
+
+/// @returns the entries that heartbeats go to, in turn
+/// @param aTurn  number of the period
+[[nodiscard]] std::vector<EntryRecord> PeersToCall(const Roster& aRoster,
+                                                   std::uint64_t aTurn);
+
+/// @returns the caller addresses to name to a caller from a region
+[[nodiscard]] std::vector<std::string> EntriesFor(const Roster& aRoster,
+                                                  const std::string& aRegion,
+                                                  TimePoint aNow);
+
+/// @returns how many entries share limits; never below what was seen
+[[nodiscard]] std::size_t SharingEntries(const Roster& aRoster) noexcept;
+
+/// @returns records of dead entries that this entry is to remove
+[[nodiscard]] std::vector<EntryRecord> RecordsToRemove(const Roster& aRoster,
+                                                       TimePoint aNow);
+
+} // namespace guavaline
--- /dev/null
+++ b/include/guavaline/routing/routes.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+/// Which service answers a request: routes by host name and path prefix, and
+/// the split of a route between services.
+
+#include <guavaline/core/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace guavaline {
+
+/// What may be repeated, and how large bodies are.
+enum class RequestKind {
+  Idempotent = 1,
+  NonIdempotent,
+  Upload, ///< Non-idempotent with a large body.
+};
+
+/// One part of a split route.
+struct WeightedService
+{
+  std::string mService;
+  double mWeight = 1;
+};
+
+/// Where requests of one host name and path prefix go.
+struct Route
+{
+  std::string mName;
+  std::string mHost;
+  std::string mPathPrefix; ///< Begins and ends with a slash.
+  RequestKind mKind = RequestKind::NonIdempotent;
+  Millis mTimeout{ 0 };        ///< Longest wait for an answer; 0 for none.
+  Millis mLatencyGoal{ 0 };    ///< An answer within it has its full value.
+  std::uint32_t mPriority = 0; ///< 0 is served first under shortage.
+  std::vector<WeightedService> mServices;
+  std::uint32_t mMostTargets = 1;    ///< Targets that one attempt may reach.
+  bool mAffinity = false;            ///< Targets keep state of an object warm.
+  std::vector<std::string> mRegions; ///< Allowed regions; empty for all.
+};
+
+/// What holds for all targets of a service.
+struct ServicePolicy
+{
+  std::uint32_t mMostConnections = 0; ///< Of one target, from all callers.
+  double mColdRate = 0; ///< Requests a second a cold target bears.
+};
+
+/// Bounds on what callers may send.
+struct CallerLimits
+{
+  std::uint32_t mMostHeaderBytes = 16'384;
+  std::uint64_t mMostBodyBytes = 64ULL << 20U;
+  Millis mHeaderTimeout{ 3'000 };
+  Millis mIdleTimeout{ 15'000 };
+};
+
+/// One accepted configuration.
+struct RoutingTable
+{
+  std::uint64_t mVersion = 0; ///< 0 where none is held.
+  std::vector<Route> mRoutes;
+  std::map<std::string, ServicePolicy> mServices;
+  CallerLimits mLimits;
+};
+
+/// @returns the route with the longest matching prefix, or null
+[[nodiscard]] const Route* MatchRoute(const RoutingTable& aTable,
+                                      std::string_view aHost,
+                                      std::string_view aPath) noexcept;
+
+/// Requests sent to each part of one split route, fading with time.
+struct SplitTally
+{
+  std::vector<double> mSent; ///< By part.
+  double mAll = 0;
+};
+
+/// Picks the part of a route that serves an object. An object keeps its part,
+/// so that one service holds it warm, as long as the shares stay near the
+/// weights.
+/// @param aKey  hash of the object
+[[nodiscard]] const std::string& PickService(const Route& aRoute,
+                                             std::uint64_t aKey,
+                                             SplitTally& aTally);
+
+} // namespace guavaline
--- a/src/admission/budgets.cpp
+++ b/src/admission/budgets.cpp
@@ -7,8 +7,6 @@
 
 constexpr double kBitsPerByte = 8;
 constexpr double kBurstSeconds = 0.25;
-constexpr double kRetriesPerRequest = 0.1;
-constexpr double kMostRetryTokens = 50;
 
 void Refill(LinkBudget& aBudget, TimePoint aNow) noexcept
 {
@@ -61,7 +59,7 @@
 void NoteRequest(RetryBudget& aBudget) noexcept
 {
   aBudget.mTokens =
-    std::min(kMostRetryTokens, aBudget.mTokens + kRetriesPerRequest);
+    std::min(aBudget.mMost, aBudget.mTokens + aBudget.mPerRequest);
 }
 
 bool TakeRetry(RetryBudget& aBudget) noexcept
--- a/src/daemon/log.hpp
+++ b/src/daemon/log.hpp
@@ -22,9 +22,23 @@
   Error,
 };
 
+/// How lines are bounded under load.
+enum class LogClass {
+  Routine = 1, ///< Requests that were served.
+  Failure,     ///< Requests that failed or were refused.
+};
+
 /// Sets up the process's log on standard error.
 void StartLog(const std::string& aHost);
 
+/// Sets up the process's log on standard output. Lines gather in memory and
+/// go out with FlushLog; what a reader does not take in time is dropped and
+/// counted, so that logging never blocks.
+void StartStdoutLog(const std::string& aHost);
+
+/// Writes gathered lines, as far as standard output takes them.
+void FlushLog();
+
 /// Sets the level: debug, info, warning or error.
 /// @returns false where the name is another
 bool SetLogLevel(const std::string& aLevel);
@@ -33,4 +47,9 @@
 void Log(LogLevel aLevel, std::string_view aEvent,
          std::initializer_list<LogField> aFields);
 
+/// Writes one event of a kind that comes with load. Above a rate, lines are
+/// left out and counted; routine lines are left out first.
+void LogBounded(LogClass aClass, LogLevel aLevel, std::string_view aEvent,
+                std::initializer_list<LogField> aFields);
+
 } // namespace guavaline::detail
--- /dev/null
+++ b/src/entry/entry.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+/// State of an entry host that runs on the users' platform. Decisions are
+/// free functions of the slices; the files beside this one feed them events
+/// and carry out what they decide.
+
+#include "daemon/log.hpp"
+#include "entry/adapter.hpp"
+#include "entry/settings.hpp"
+#include "http/server.hpp"
+#include "peers/peer_link.hpp"
+
+#include <guavaline/admission/budgets.hpp>
+#include <guavaline/crashers/crashers.hpp>
+#include <guavaline/metrics/metrics.hpp>
+#include <guavaline/placement/placement.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <random>
+
+namespace guavaline::detail {
+
+/// How an entry's view of one kind of object stands.
+struct FollowState
+{
+  bool mListed = false;   ///< Listed at least once in this life.
+  bool mConnected = true; ///< The last call worked.
+  TimePoint mConfirmed{}; ///< When the view was last known to be current.
+  std::uint64_t mRevision = 0;
+};
+
+struct Entry
+{
+  Entry(boost::asio::io_context& aContext, EntrySettings aSettings,
+        HttpClient& aStoreHttp, PlatformAdapter aPlatform);
+
+  boost::asio::io_context& mContext;
+  EntrySettings mSettings;
+  HttpClient& mStoreHttp;
+  PlatformAdapter mPlatform;
+  std::mt19937_64 mRandom;
+
+  RoutingTable mRouting;
+  TargetRegistry mRegistry;
+  Roster mRoster;
+  std::map<ObjectKind, FollowState> mFollows;
+  RoundTrips mTrips;
+  WarmTable mWarm;
+  RunTimeTable mRunTimes;
+  std::map<std::string, SplitTally> mSplits;   ///< By route.
+  std::map<std::string, RetryBudget> mRetries; ///< By service.
+  CrasherTable mCrashers;
+  Metrics mMetrics;
+
+  HttpClient mTargetClient;
+  PeerClient mPeers;
+  HttpServer mCallerServer;
+  HttpServer mReadyServer;
+  HttpServer mLookupServer;
+  HttpServer mMetricsServer;
+  PeerServer mPeerServer;
+  std::optional<TimePoint> mStopping; ///< When SIGTERM came.
+};
+
+/// Waits on the event loop.
+boost::asio::awaitable<void> Pause(Entry& aEntry, Millis aTime);
+
+/// @returns true where the entry may take callers' requests
+[[nodiscard]] bool IsReady(const Entry& aEntry);
+
+/// Answers one caller's request.
+boost::asio::awaitable<HttpResponse> ForwardRequest(Entry& aEntry,
+                                                    HttpRequest aRequest);
+
+/// Answers a look-up, a readiness question, or a request for metrics.
+boost::asio::awaitable<HttpResponse> AnswerLookup(Entry& aEntry,
+                                                  HttpRequest aRequest);
+boost::asio::awaitable<HttpResponse> AnswerReady(Entry& aEntry,
+                                                 HttpRequest aRequest);
+boost::asio::awaitable<HttpResponse> AnswerMetrics(Entry& aEntry,
+                                                   HttpRequest aRequest);
+
+/// Keeps the view of one kind of object; runs until the process ends.
+boost::asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind);
+
+/// Keeps the own record in the store and removes those of dead entries.
+boost::asio::awaitable<void> KeepRecords(Entry& aEntry);
+
+/// Exchanges heartbeats with the entries of the region.
+boost::asio::awaitable<void> ExchangeHeartbeats(Entry& aEntry);
+
+/// Answers another entry's call.
+boost::asio::awaitable<std::optional<std::string>> AnswerEntry(
+  Entry& aEntry, std::string aKind, std::string aBody);
+
+/// Serves until SIGTERM.
+/// @returns the process's exit code
+int RunEntry(boost::asio::io_context& aContext, Entry& aEntry);
+
+} // namespace guavaline::detail
--- /dev/null
+++ b/src/entry/follow.cpp
@@ -0,0 +1,277 @@
+/// Keeps views of the store's objects: a listing, then watches. While the
+/// store cannot be reached the last accepted view stays in force.
+
+#include "entry/entry.hpp"
+
+#include <algorithm>
+
+namespace guavaline::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long the store may hold a watch. Dead connections are found sooner,
+/// by keep-alive probes.
+constexpr Millis kWatchWait{ 15'000 };
+/// Pause between watches, in which changes gather; each call has its price.
+/// A fraction of the least bound on how old a view may be (2.5 s).
+constexpr Millis kGatherTime{ 300 };
+/// Entries' records matter less and change most often after restarts.
+constexpr Millis kGatherEntries{ 1'000 };
+constexpr Millis kFirstBackoff{ 200 };
+constexpr Millis kMostBackoff{ 1'000 };
+
+const char* NameOf(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::Routing:
+      return "routing";
+    case ObjectKind::Targets:
+      return "targets";
+    case ObjectKind::Evacuations:
+      return "evacuations";
+    case ObjectKind::Entries:
+      return "entries";
+  }
+  return "unknown";
+}
+
+void TakeRouting(Entry& aEntry, const ObjectChange& aChange)
+{
+  if (aChange.mRemoved) {
+    return;
+  }
+  auto table = aEntry.mPlatform.mReadRouting(aChange);
+  if (!table) {
+    Log(LogLevel::Error, "configuration_unreadable",
+        { { "object", aChange.mName },
+          { "revision", std::to_string(aChange.mRevision) } });
+    return;
+  }
+  if (table->mVersion <= aEntry.mRouting.mVersion) {
+    return;
+  }
+  Log(LogLevel::Info, "configuration_accepted",
+      { { "version", std::to_string(table->mVersion) },
+        { "before", std::to_string(aEntry.mRouting.mVersion) },
+        { "routes", std::to_string(table->mRoutes.size()) } });
+  aEntry.mRouting = std::move(*table);
+  HttpServerLimits limits;
+  const auto& wanted = aEntry.mRouting.mLimits;
+  limits.mMostHeaderBytes = wanted.mMostHeaderBytes;
+  limits.mMostBodyBytes = wanted.mMostBodyBytes;
+  limits.mIdleTimeout = wanted.mIdleTimeout;
+  aEntry.mCallerServer.SetLimits(limits);
+}
+
+const char* ChangeName(RegistryChange aChange)
+{
+  switch (aChange) {
+    case RegistryChange::Joined:
+      return "joined";
+    case RegistryChange::Restarted:
+      return "restarted";
+    case RegistryChange::Draining:
+      return "draining";
+    case RegistryChange::Lapsed:
+      return "lapsed";
+    case RegistryChange::Left:
+      return "left";
+    case RegistryChange::None:
+      break;
+  }
+  return "";
+}
+
+void TakeTarget(Entry& aEntry, const ObjectChange& aChange, TimePoint aNow)
+{
+  auto change = RegistryChange::None;
+  if (aChange.mRemoved) {
+    change = TakeRemoval(aEntry.mRegistry, aChange.mName, aNow);
+  } else if (const auto target = aEntry.mPlatform.mReadTarget(aChange)) {
+    change = TakeRegistration(aEntry.mRegistry, *target, aNow);
+  } else {
+    // Another writer's object, or one that cannot be read: nothing to use.
+    change = TakeRemoval(aEntry.mRegistry, aChange.mName, aNow);
+    Log(LogLevel::Warning, "registration_unreadable",
+        { { "target", aChange.mName } });
+  }
+  if (change != RegistryChange::None) {
+    Log(LogLevel::Info, "target_changed",
+        { { "target", aChange.mName },
+          { "change", ChangeName(change) },
+          { "revision", std::to_string(aChange.mRevision) } });
+  }
+}
+
+void TakeEvacuation(Entry& aEntry, const ObjectChange& aChange)
+{
+  auto& evacuated = aEntry.mRegistry.mEvacuated;
+  const bool changed = aChange.mRemoved
+                         ? evacuated.erase(aChange.mName) > 0
+                         : evacuated.insert(aChange.mName).second;
+  if (changed) {
+    Log(LogLevel::Info, "evacuation_changed",
+        { { "failure_domain", aChange.mName },
+          { "emptied", aChange.mRemoved ? "no" : "yes" },
+          { "revision", std::to_string(aChange.mRevision) } });
+  }
+}
+
+void TakeEntry(Entry& aEntry, const ObjectChange& aChange, TimePoint aNow)
+{
+  if (aChange.mRemoved) {
+    TakeRecordRemoval(aEntry.mRoster, aChange.mName);
+  } else if (const auto record = aEntry.mPlatform.mReadEntry(aChange)) {
+    TakeRecord(aEntry.mRoster, *record, aNow);
+  } else {
+    Log(LogLevel::Warning, "entry_record_unreadable",
+        { { "entry", aChange.mName } });
+    return;
+  }
+  Log(LogLevel::Info, "entry_record_changed",
+      { { "entry", aChange.mName },
+        { "removed", aChange.mRemoved ? "yes" : "no" } });
+}
+
+void TakeChange(Entry& aEntry, ObjectKind aKind, const ObjectChange& aChange,
+                TimePoint aNow)
+{
+  switch (aKind) {
+    case ObjectKind::Routing:
+      return TakeRouting(aEntry, aChange);
+    case ObjectKind::Targets:
+      return TakeTarget(aEntry, aChange, aNow);
+    case ObjectKind::Evacuations:
+      return TakeEvacuation(aEntry, aChange);
+    case ObjectKind::Entries:
+      return TakeEntry(aEntry, aChange, aNow);
+  }
+}
+
+/// Takes in a whole listing; what is not on it is gone.
+void TakeListing(Entry& aEntry, ObjectKind aKind,
+                 const std::vector<ObjectChange>& aAll, TimePoint aNow)
+{
+  if (aKind == ObjectKind::Targets) {
+    std::vector<Registration> list;
+    for (const auto& it : aAll) {
+      if (auto target = aEntry.mPlatform.mReadTarget(it)) {
+        list.push_back(std::move(*target));
+      }
+    }
+    TakeWholeList(aEntry.mRegistry, list, aNow);
+    return;
+  }
+  if (aKind == ObjectKind::Entries) {
+    std::vector<EntryRecord> list;
+    for (const auto& it : aAll) {
+      if (auto record = aEntry.mPlatform.mReadEntry(it)) {
+        list.push_back(std::move(*record));
+      }
+    }
+    TakeAllRecords(aEntry.mRoster, list, aNow);
+    return;
+  }
+  if (aKind == ObjectKind::Evacuations) {
+    aEntry.mRegistry.mEvacuated.clear();
+  }
+  for (const auto& it : aAll) {
+    TakeChange(aEntry, aKind, it, aNow);
+  }
+}
+
+void NoteCall(Entry& aEntry, ObjectKind aKind, const char* aCall,
+              const ObjectReply& aReply, TimePoint aNow)
+{
+  auto& state = aEntry.mFollows[aKind];
+  aEntry.mMetrics.Count("store_calls", std::string("kind=\"") + NameOf(aKind) +
+                                         "\",call=\"" + aCall + "\"");
+  const bool worked = aReply.mStatus == StoreStatus::Ok || aReply.mHistoryGone;
+  if (worked) {
+    state.mConfirmed = aNow;
+  } else {
+    NoteRegistryTrouble(aEntry.mRegistry, aNow);
+  }
+  if (worked != state.mConnected) {
+    state.mConnected = worked;
+    Log(worked ? LogLevel::Info : LogLevel::Warning,
+        worked ? "store_regained" : "store_lost",
+        { { "kind", NameOf(aKind) },
+          { "revision", std::to_string(state.mRevision) },
+          { "error", aReply.mError.Describe() } });
+  }
+}
+
+/// Lists all objects of a kind, page by page.
+/// @returns true where the view is whole
+asio::awaitable<bool> ListAll(Entry& aEntry, ObjectKind aKind)
+{
+  std::vector<ObjectChange> all;
+  std::string after;
+  std::uint64_t revision = 0;
+  while (true) {
+    auto reply = co_await aEntry.mPlatform.mList(aKind, after);
+    NoteCall(aEntry, aKind, "list", reply, Clock::now());
+    if (reply.mStatus != StoreStatus::Ok) {
+      co_return false;
+    }
+    // Changes between pages come again with the watch.
+    revision =
+      revision == 0 ? reply.mRevision : std::min(revision, reply.mRevision);
+    for (auto& it : reply.mChanges) {
+      after = it.mName;
+      all.push_back(std::move(it));
+    }
+    if (!reply.mMore || reply.mChanges.empty()) {
+      break;
+    }
+  }
+  auto& state = aEntry.mFollows[aKind];
+  TakeListing(aEntry, aKind, all, Clock::now());
+  state.mRevision = revision;
+  state.mListed = true;
+  Log(LogLevel::Info, "view_listed",
+      { { "kind", NameOf(aKind) },
+        { "objects", std::to_string(all.size()) },
+        { "revision", std::to_string(revision) } });
+  co_return true;
+}
+
+} // namespace
+
+asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind)
+{
+  auto& state = aEntry.mFollows[aKind];
+  auto backoff = kFirstBackoff;
+  const auto gather =
+    aKind == ObjectKind::Entries ? kGatherEntries : kGatherTime;
+  bool listed = false;
+  while (true) {
+    if (!listed) {
+      listed = co_await ListAll(aEntry, aKind);
+    } else {
+      auto reply =
+        co_await aEntry.mPlatform.mWatch(aKind, state.mRevision, kWatchWait);
+      const auto now = Clock::now();
+      NoteCall(aEntry, aKind, "watch", reply, now);
+      listed = !reply.mHistoryGone;
+      if (reply.mStatus == StoreStatus::Ok) {
+        for (const auto& it : reply.mChanges) {
+          TakeChange(aEntry, aKind, it, now);
+        }
+        state.mRevision = std::max(state.mRevision, reply.mRevision);
+      }
+    }
+    if (state.mConnected) {
+      backoff = kFirstBackoff;
+      co_await Pause(aEntry, listed ? gather : Millis(1));
+    } else {
+      co_await Pause(aEntry, backoff);
+      backoff = std::min(backoff * 2, kMostBackoff);
+    }
+  }
+}
+
+} // namespace guavaline::detail
--- /dev/null
+++ b/src/entry/heartbeats.cpp
@@ -0,0 +1,125 @@
+/// Records of entries in the store, and heartbeats between the entries of a
+/// region.
+
+#include "codec/described.hpp"
+#include "entry/entry.hpp"
+
+#include <guavaline/core/hash.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <charconv>
+
+namespace guavaline {
+
+BOOST_DESCRIBE_STRUCT(EntryNews, (), (mName, mIncarnation, mCounter, mLeaving))
+
+namespace detail {
+
+/// A heartbeat and its answer.
+struct EntryHeartbeat
+{
+  std::vector<EntryNews> mNews;
+  std::vector<std::string> mCrashers; ///< Digests of requests that crash.
+};
+BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mNews, mCrashers))
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char* kHeartbeatKind = "entry-heartbeat";
+constexpr Millis kCallTimeout{ 1'000 };
+constexpr Millis kRecordRetry{ 500 };
+constexpr Millis kRecordCheck{ 3'000 };
+constexpr std::size_t kMostCrashersTold = 8;
+constexpr int kHexBase = 16;
+
+std::string MakeHeartbeat(Entry& aEntry)
+{
+  const auto now = Clock::now();
+  EntryHeartbeat out;
+  out.mNews = TellNews(aEntry.mRoster, now);
+  for (const auto it : ListCrashers(aEntry.mCrashers, now, kMostCrashersTold)) {
+    out.mCrashers.push_back(HexId(it));
+  }
+  return ToJson(out);
+}
+
+bool TakeIn(Entry& aEntry, const std::string& aBody)
+{
+  EntryHeartbeat heartbeat;
+  if (!FromJson(aBody, heartbeat).empty()) {
+    return false;
+  }
+  const auto now = Clock::now();
+  HearNews(aEntry.mRoster, heartbeat.mNews, now);
+  for (const auto& it : heartbeat.mCrashers) {
+    std::uint64_t digest = 0;
+    const auto* end = it.data() + it.size();
+    if (std::from_chars(it.data(), end, digest, kHexBase).ptr == end) {
+      NoteRefusedByPeer(aEntry.mCrashers, digest, now);
+    }
+  }
+  return true;
+}
+
+asio::awaitable<void> CallPeer(Entry& aEntry, EntryRecord aPeer)
+{
+  const auto endpoint = ParseEndpoint(aPeer.mPeerAddress);
+  if (!endpoint) {
+    co_return;
+  }
+  const std::string body = MakeHeartbeat(aEntry);
+  const auto reply = co_await aEntry.mPeers.Call(
+    *endpoint, kHeartbeatKind, body, kCallTimeout, aPeer.mPeerKey);
+  if (!reply.mBody || !TakeIn(aEntry, *reply.mBody)) {
+    Log(LogLevel::Debug, "heartbeat_failed",
+        { { "entry", aPeer.mName }, { "error", reply.mError.Describe() } });
+  }
+}
+
+} // namespace
+
+asio::awaitable<void> ExchangeHeartbeats(Entry& aEntry)
+{
+  for (std::uint64_t turn = 0;; ++turn) {
+    ++aEntry.mRoster.mOwnCounter;
+    for (const auto& it : PeersToCall(aEntry.mRoster, turn)) {
+      asio::co_spawn(aEntry.mContext, CallPeer(aEntry, it), asio::detached);
+    }
+    co_await Pause(aEntry, kHeartbeatPeriod);
+  }
+}
+
+asio::awaitable<std::optional<std::string>> AnswerEntry(Entry& aEntry,
+                                                        std::string aKind,
+                                                        std::string aBody)
+{
+  if (aKind != kHeartbeatKind || !TakeIn(aEntry, aBody)) {
+    co_return std::nullopt;
+  }
+  co_return MakeHeartbeat(aEntry);
+}
+
+asio::awaitable<void> KeepRecords(Entry& aEntry)
+{
+  bool written = false;
+  while (!aEntry.mStopping) {
+    if (!written) {
+      written = co_await aEntry.mPlatform.mWriteEntry(aEntry.mRoster.mSelf) ==
+                StoreStatus::Ok;
+      co_await Pause(aEntry, kRecordRetry);
+      continue;
+    }
+    co_await Pause(aEntry, kRecordCheck);
+    for (const auto& it : RecordsToRemove(aEntry.mRoster, Clock::now())) {
+      Log(LogLevel::Info, "dead_entry_removed", { { "entry", it.mName } });
+      co_await aEntry.mPlatform.mRemoveEntry(it.mName, it.mRevision);
+    }
+  }
+}
+
+} // namespace detail
+} // namespace guavaline
--- /dev/null
+++ b/src/entry/lookups.cpp
@@ -0,0 +1,64 @@
+/// Look-ups, readiness and metrics.
+
+#include "entry/entry.hpp"
+
+#include <algorithm>
+
+namespace guavaline::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// How long callers keep an answer. Entries come and go within seconds.
+constexpr Millis kLookupTtl{ 2'000 };
+
+HttpResponse Plain(unsigned aStatus, std::string aBody)
+{
+  HttpResponse out;
+  out.mStatus = aStatus;
+  out.mHeaders = { { "Content-Type", "text/plain" } };
+  out.mBody = std::move(aBody);
+  return out;
+}
+
+} // namespace
+
+bool IsReady(const Entry& aEntry)
+{
+  const auto targets = aEntry.mFollows.find(ObjectKind::Targets);
+  const auto evacuations = aEntry.mFollows.find(ObjectKind::Evacuations);
+  return aEntry.mRouting.mVersion > 0 && targets != aEntry.mFollows.end() &&
+         targets->second.mListed && evacuations != aEntry.mFollows.end() &&
+         evacuations->second.mListed;
+}
+
+asio::awaitable<HttpResponse> AnswerLookup(Entry& aEntry, HttpRequest aRequest)
+{
+  const auto question = aEntry.mPlatform.mReadLookup(aRequest);
+  if (!question) {
+    co_return Plain(404, "no such page\n");
+  }
+  auto entries = EntriesFor(aEntry.mRoster, question->mRegion, Clock::now());
+  aEntry.mMetrics.Count("lookups", "region=\"" + question->mRegion + "\"");
+  if (entries.empty()) {
+    co_return Plain(503, "no entry is known\n");
+  }
+  co_return aEntry.mPlatform.mWriteLookup(
+    entries, std::min(kLookupTtl, aEntry.mSettings.mBounds.mLookupTtlMost));
+}
+
+asio::awaitable<HttpResponse> AnswerReady(Entry& aEntry, HttpRequest)
+{
+  if (aEntry.mStopping) {
+    co_return Plain(503, "stopping\n");
+  }
+  co_return IsReady(aEntry) ? Plain(200, "ready\n") : Plain(503, "starting\n");
+}
+
+asio::awaitable<HttpResponse> AnswerMetrics(Entry& aEntry, HttpRequest)
+{
+  co_return Plain(200, aEntry.mMetrics.Text());
+}
+
+} // namespace guavaline::detail
--- /dev/null
+++ b/src/entry/run.cpp
@@ -0,0 +1,202 @@
+/// Start, stop and upkeep of an entry host.
+
+#include "entry/entry.hpp"
+
+#include <guavaline/core/hash.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace guavaline::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis kUpkeepPeriod{ 200 };
+constexpr Millis kStopPoll{ 50 };
+/// Callers go on for this long after the entry left the look-ups, from the
+/// time that they keep answers.
+constexpr Millis kLeaveTime{ 3'000 };
+/// Left of the stop time when the process ends, however much is in flight.
+constexpr Millis kStopMargin{ 300 };
+/// Descriptors kept for the store, peers, targets and files.
+constexpr std::uint32_t kOtherDescriptors = 1'000;
+constexpr std::uint64_t kBodyMemoryPart = 4;
+constexpr std::uint64_t kMegabyte = 1ULL << 20U;
+constexpr int kExitCannotStart = 3;
+
+std::uint64_t NewSeed()
+{
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+void Spawn(Entry& aEntry, asio::awaitable<void> aTask)
+{
+  asio::co_spawn(aEntry.mContext, std::move(aTask), asio::detached);
+}
+
+std::string ListenAll(Entry& aEntry)
+{
+  const auto& settings = aEntry.mSettings;
+  HttpServerLimits limits;
+  limits.mMostConnections =
+    settings.mLimits.mMostDescriptors > 2 * kOtherDescriptors
+      ? settings.mLimits.mMostDescriptors - kOtherDescriptors
+      : settings.mLimits.mMostDescriptors / 2;
+  limits.mMostBufferedBytes =
+    settings.mLimits.mMemoryMb * kMegabyte / kBodyMemoryPart;
+  const auto listen = [&](HttpServer& aServer, const Endpoint& aWhere,
+                          auto aAnswer) -> std::string {
+    if (aWhere.mPort == 0) {
+      return {};
+    }
+    return aServer.Listen(
+      aEntry.mContext, aWhere.mAddress, aWhere.mPort,
+      [&aEntry, aAnswer](HttpRequest a) {
+        return aAnswer(aEntry, std::move(a));
+      },
+      limits);
+  };
+  for (const auto& problem :
+       { listen(aEntry.mCallerServer, settings.mCallers, ForwardRequest),
+         listen(aEntry.mReadyServer, settings.mReady, AnswerReady),
+         listen(aEntry.mLookupServer, settings.mLookups, AnswerLookup),
+         listen(aEntry.mMetricsServer, settings.mMetrics, AnswerMetrics) }) {
+    if (!problem.empty()) {
+      return problem;
+    }
+  }
+  return aEntry.mPeerServer.Listen(
+    aEntry.mContext, settings.mPeers.mAddress, settings.mPeers.mPort,
+    aEntry.mRoster.mSelf.mPeerKey,
+    [&aEntry](std::string aKind, std::string aBody) {
+      return AnswerEntry(aEntry, std::move(aKind), std::move(aBody));
+    },
+    [](const std::string&) { return true; });
+}
+
+asio::awaitable<void> Upkeep(Entry& aEntry)
+{
+  while (true) {
+    co_await Pause(aEntry, kUpkeepPeriod);
+    const auto now = Clock::now();
+    ForgetLapsed(aEntry.mRegistry, now);
+    ForgetOldCrashes(aEntry.mCrashers, now);
+    aEntry.mTargetClient.DropExpired(now);
+    FlushLog();
+  }
+}
+
+asio::awaitable<void> LeaveStore(Entry& aEntry)
+{
+  const std::string name = aEntry.mSettings.mName;
+  co_await aEntry.mPlatform.mRemoveEntry(name, 0);
+}
+
+/// Leaves the look-ups, serves what still comes, then ends.
+asio::awaitable<void> Stop(Entry& aEntry)
+{
+  const auto started = Clock::now();
+  aEntry.mStopping = started;
+  aEntry.mRoster.mLeaving = true;
+  Log(LogLevel::Info, "stopping",
+      { { "in_flight", std::to_string(aEntry.mCallerServer.InFlight()) } });
+  Spawn(aEntry, LeaveStore(aEntry));
+  aEntry.mCallerServer.CloseAfterAnswers();
+  const auto last = started + aEntry.mSettings.mBounds.mStopTime - kStopMargin;
+  while (Clock::now() < last && (Clock::now() < started + kLeaveTime ||
+                                 aEntry.mCallerServer.InFlight() > 0)) {
+    co_await Pause(aEntry, kStopPoll);
+  }
+  Log(LogLevel::Info, "stopped",
+      { { "cut_in_flight", std::to_string(aEntry.mCallerServer.InFlight()) } });
+  FlushLog();
+  aEntry.mContext.stop();
+}
+
+asio::awaitable<void> AwaitStop(Entry& aEntry)
+{
+  asio::signal_set signals(aEntry.mContext, SIGTERM, SIGINT);
+  co_await signals.async_wait(asio::use_awaitable);
+  co_await Stop(aEntry);
+}
+
+/// What the settings say does not change in the life of a process, so that
+/// there is nothing to take in again; the signal must not end it.
+asio::awaitable<void> AwaitReload(Entry& aEntry)
+{
+  asio::signal_set signals(aEntry.mContext, SIGHUP);
+  while (true) {
+    co_await signals.async_wait(asio::use_awaitable);
+    Log(LogLevel::Info, "reloaded",
+        { { "configuration", std::to_string(aEntry.mRouting.mVersion) } });
+  }
+}
+
+} // namespace
+
+Entry::Entry(asio::io_context& aContext, EntrySettings aSettings,
+             HttpClient& aStoreHttp, PlatformAdapter aPlatform)
+  : mContext(aContext)
+  , mSettings(std::move(aSettings))
+  , mStoreHttp(aStoreHttp)
+  , mPlatform(std::move(aPlatform))
+  , mRandom(NewSeed())
+  , mTargetClient(aContext.get_executor())
+  , mPeers(aContext.get_executor(), "", mSettings.mAddress)
+{
+  mRegistry.mDomains = mSettings.mDomains;
+  mTrips.mOwnDomain = mSettings.mFailureDomain;
+  mTrips.mOwnRegion = mSettings.mRegion;
+  auto& self = mRoster.mSelf;
+  self.mName = mSettings.mName;
+  self.mIncarnation = mRandom() >> 1U;
+  self.mCallerAddress = mSettings.mCallers.Text();
+  self.mPeerAddress = mSettings.mPeers.Text();
+  self.mPeerKey = HexId(mRandom());
+  self.mFailureDomain = mSettings.mFailureDomain;
+  self.mRegion = mSettings.mRegion;
+}
+
+asio::awaitable<void> Pause(Entry& aEntry, Millis aTime)
+{
+  asio::steady_timer timer(aEntry.mContext, aTime);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+int RunEntry(asio::io_context& aContext, Entry& aEntry)
+{
+  const auto problem = ListenAll(aEntry);
+  if (!problem.empty()) {
+    Log(LogLevel::Error, "cannot_start", { { "error", problem } });
+    FlushLog();
+    return kExitCannotStart;
+  }
+  Spawn(aEntry, AwaitStop(aEntry));
+  Spawn(aEntry, AwaitReload(aEntry));
+  for (const auto it : { ObjectKind::Routing, ObjectKind::Targets,
+                         ObjectKind::Evacuations, ObjectKind::Entries }) {
+    Spawn(aEntry, FollowObjects(aEntry, it));
+  }
+  Spawn(aEntry, KeepRecords(aEntry));
+  Spawn(aEntry, ExchangeHeartbeats(aEntry));
+  Spawn(aEntry, Upkeep(aEntry));
+  Log(LogLevel::Info, "started",
+      { { "callers", aEntry.mSettings.mCallers.Text() },
+        { "failure_domain", aEntry.mSettings.mFailureDomain },
+        { "store", aEntry.mSettings.mStore.Text() },
+        { "incarnation", HexId(aEntry.mRoster.mSelf.mIncarnation) } });
+  aContext.run();
+  FlushLog();
+  return 0;
+}
+
+} // namespace guavaline::detail
--- /dev/null
+++ b/src/entry/settings.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+/// What an entry host is told about itself and its surroundings.
+
+#include "http/client.hpp"
+
+#include <guavaline/registry/registry.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace guavaline::detail {
+
+/// Times and limits that the deployment promises to keep.
+struct EntryBounds
+{
+  Millis mStopTime{ 6'000 }; ///< From SIGTERM until the process is killed.
+  Millis mLookupTtlMost{ 5'000 };
+  double mRetryRatio = 0.2; ///< Retries to requests, all entries together.
+  double mRetrySlack = 64;  ///< Retries on top of it, all entries together.
+  Millis mRetryWindow{ 10'000 };
+};
+
+/// Limits of the process.
+struct EntryLimits
+{
+  std::uint32_t mMostDescriptors = 4'096;
+  std::uint32_t mMemoryMb = 256;
+};
+
+struct EntrySettings
+{
+  std::string mName;
+  std::string mFailureDomain;
+  std::string mRegion;
+  DomainMap mDomains;   ///< All failure domains and their regions.
+  std::string mAddress; ///< IP number of the host.
+  Endpoint mCallers;    ///< Serves callers' requests.
+  Endpoint mReady;      ///< Tells whether the entry is ready.
+  Endpoint mLookups;    ///< Answers look-ups.
+  Endpoint mMetrics;    ///< Serves metrics; port 0 for none.
+  Endpoint mPeers;      ///< Other entries' calls; port 0 for any free one.
+  Endpoint mStore;
+  EntryBounds mBounds;
+  EntryLimits mLimits;
+};
+
+} // namespace guavaline::detail
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -10,6 +10,8 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <netinet/tcp.h>
+
 #include <charconv>
 #include <map>
 
@@ -24,6 +26,15 @@
 
 constexpr std::size_t kMostKeptPerPeer = 512;
 constexpr std::uint32_t kMostHeaderBytes = 16'384;
+/// A kept connection is left this long before its peer closes it.
+constexpr Millis kIdleMargin{ 1'000 };
+/// Keep-alive probes of idle connections, in seconds and tries: a connection
+/// that has gone silent is found within about three seconds.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeTries = 2;
+/// Bodies above this are sent while the answer is awaited, since a peer may
+/// answer before it has read them.
+constexpr std::size_t kSmallBody = 8'192;
 
 /// A kept connection.
 class PooledConnection
@@ -40,6 +51,7 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   TimePoint mProven{};
+  Millis mIdleLimit{ Millis::max() }; ///< The peer closes it after that.
 };
 
 using Connection = boost::intrusive_ptr<PooledConnection>;
@@ -82,13 +94,28 @@
     while (!list.empty()) {
       Connection out(&list.front(), false);
       list.pop_front();
-      if (aNow - out->mProven <= aWithin && StillQuiet(out->mStream.socket())) {
+      const auto idle = aNow - out->mProven;
+      if (idle <= aWithin && idle < out->mIdleLimit &&
+          StillQuiet(out->mStream.socket())) {
         return out;
       }
     }
     return nullptr;
   }
 
+  void DropExpired(TimePoint aNow)
+  {
+    for (auto it = mIdle.begin(); it != mIdle.end();) {
+      auto& list = it->second;
+      while (!list.empty() &&
+             aNow - list.back().mProven >= list.back().mIdleLimit) {
+        list.pop_back_and_dispose(
+          [](PooledConnection* a) { intrusive_ptr_release(a); });
+      }
+      it = list.empty() ? mIdle.erase(it) : std::next(it);
+    }
+  }
+
   void Keep(const Endpoint& aEndpoint, Connection aConnection)
   {
     auto& list = mIdle[Key(aEndpoint)];
@@ -139,14 +166,59 @@
 
 namespace {
 
+using UserTimeout =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using ProbeAfter =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using ProbeEvery =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using ProbeTries =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+
+/// Lets the system find that a peer's host is gone or the path is silent.
+void WatchPeer(tcp::socket& aSocket, Millis aUnacknowledged)
+{
+  if (aUnacknowledged.count() == 0) {
+    return;
+  }
+  beast::error_code ec;
+  aSocket.set_option(UserTimeout(static_cast<int>(aUnacknowledged.count())),
+                     ec);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ec);
+  aSocket.set_option(ProbeAfter(kProbeAfterSeconds), ec);
+  aSocket.set_option(ProbeEvery(kProbeAfterSeconds), ec);
+  aSocket.set_option(ProbeTries(kProbeTries), ec);
+}
+
+/// @returns how long a peer keeps an idle connection, by its answer
+Millis IdleLimitOf(std::string_view aKeepAlive)
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto at = aKeepAlive.find(kTimeout);
+  if (at == std::string_view::npos) {
+    return Millis::max();
+  }
+  const auto text = aKeepAlive.substr(at + kTimeout.size());
+  int seconds = 0;
+  const auto read =
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
+  return read.ec == std::errc{} ? Seconds(seconds) - kIdleMargin
+                                : Millis::max();
+}
+
 asio::awaitable<Connection> Connect(asio::any_io_executor aExecutor,
-                                    Endpoint aEndpoint, TimePoint aDeadline,
+                                    Endpoint aEndpoint,
+                                    const ExchangeOptions& aOptions,
                                     ExchangeResult& aResult)
 {
   Connection out(new PooledConnection(aExecutor));
   beast::error_code ec;
   const auto address = asio::ip::make_address(aEndpoint.mAddress, ec);
-  out->mStream.expires_at(aDeadline);
+  const auto started = Clock::now();
+  out->mStream.expires_at(
+    aOptions.mConnectTimeout.count() == 0
+      ? aOptions.mDeadline
+      : std::min(aOptions.mDeadline, started + aOptions.mConnectTimeout));
   co_await out->mStream.async_connect(
     tcp::endpoint(address, aEndpoint.mPort),
     asio::redirect_error(asio::use_awaitable, ec));
@@ -156,7 +228,10 @@
     aResult.mError = { "connect", aEndpoint.Text(), ec.message() };
     co_return nullptr;
   }
+  aResult.mConnectTime = std::chrono::duration_cast<std::chrono::microseconds>(
+    Clock::now() - started);
   out->mStream.socket().set_option(tcp::no_delay(true), ec);
+  WatchPeer(out->mStream.socket(), aOptions.mUnacknowledged);
   co_return out;
 }
 
@@ -167,7 +242,9 @@
   out.version(11);
   out.method_string(aRequest.mMethod);
   out.target(aRequest.mTarget);
-  out.set(http::field::host, aEndpoint.Text());
+  if (FindHeader(aRequest.mHeaders, "Host").empty()) {
+    out.set(http::field::host, aEndpoint.Text());
+  }
   for (const auto& it : aRequest.mHeaders) {
     out.insert(it.mName, it.mValue);
   }
@@ -188,6 +265,97 @@
   return out;
 }
 
+/// A request on its way, kept alive by a send that outlasts its answer.
+struct Sending : boost::intrusive_ref_counter<Sending>
+{
+  http::request<http::string_body> mMessage;
+  Connection mConnection;
+  beast::error_code mError;
+  std::size_t mSent = 0;
+  bool mDone = false;
+};
+
+asio::awaitable<void> Send(boost::intrusive_ptr<Sending> aSending)
+{
+  beast::error_code ec;
+  aSending->mSent = co_await http::async_write(
+    aSending->mConnection->mStream, aSending->mMessage,
+    asio::redirect_error(asio::use_awaitable, ec));
+  aSending->mError = ec;
+  aSending->mDone = true;
+}
+
+/// Closes a connection unless it is kept.
+class CloseGuard
+{
+public:
+  explicit CloseGuard(Connection aConnection)
+    : mConnection(std::move(aConnection))
+  {
+  }
+  ~CloseGuard()
+  {
+    if (mConnection) {
+      mConnection->mStream.close();
+    }
+  }
+  CloseGuard(const CloseGuard&) = delete;
+  CloseGuard& operator=(const CloseGuard&) = delete;
+  CloseGuard(CloseGuard&&) = delete;
+  CloseGuard& operator=(CloseGuard&&) = delete;
+
+  [[nodiscard]] Connection Keep() { return std::move(mConnection); }
+
+private:
+  Connection mConnection;
+};
+
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// True where an answer belongs to an earlier request or is interim.
+bool IsStray(const http::response<http::string_body>& aMessage,
+             const ExchangeOptions& aOptions)
+{
+  if (aMessage.result_int() < 200) {
+    return true;
+  }
+  if (aOptions.mAnswerIdName.empty()) {
+    return false;
+  }
+  const auto it = aMessage.find(aOptions.mAnswerIdName);
+  return it != aMessage.end() && it->value() != aOptions.mAnswerId;
+}
+
+/// Reads answers until one belongs to the request.
+asio::awaitable<beast::error_code> Receive(
+  Connection aConnection, bool aHead, const ExchangeOptions& aOptions,
+  std::optional<ResponseParser>& aParser)
+{
+  while (true) {
+    aParser.emplace();
+    aParser->header_limit(kMostHeaderBytes);
+    aParser->body_limit(aOptions.mMostBodyBytes);
+    aParser->skip(aHead);
+    beast::error_code ec;
+    co_await http::async_read(aConnection->mStream, aConnection->mBuffer,
+                              *aParser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && !aHead && aParser->need_eof() && !aOptions.mUnframedBody) {
+      // Nothing would tell a whole body from one that was cut short.
+      ec = http::error::partial_message;
+    }
+    if (ec || !IsStray(aParser->get(), aOptions)) {
+      co_return ec;
+    }
+  }
+}
+
+Error ErrorOf(const char* aStep, const Endpoint& aEndpoint,
+              const beast::error_code& aError)
+{
+  return { aStep, aEndpoint.Text(), aError.message() };
+}
+
 } // namespace
 
 asio::awaitable<ExchangeResult> HttpClient::Exchange(Endpoint aEndpoint,
@@ -197,51 +365,60 @@
   ExchangeResult result;
   const auto pool = mPool;
   auto connection = pool->Take(aEndpoint, Clock::now(), aOptions.mReuseWithin);
+  result.mReused = connection != nullptr;
   if (!connection) {
-    connection =
-      co_await Connect(mExecutor, aEndpoint, aOptions.mDeadline, result);
+    connection = co_await Connect(mExecutor, aEndpoint, aOptions, result);
     if (!connection) {
       co_return result;
     }
   }
+  CloseGuard guard(connection);
   const bool head = aRequest.mMethod == "HEAD";
-  const auto message = ToBeast(aEndpoint, std::move(aRequest));
-  beast::error_code ec;
+  const bool small = aRequest.mBody.size() <= kSmallBody;
+  boost::intrusive_ptr<Sending> sending(new Sending);
+  sending->mMessage = ToBeast(aEndpoint, std::move(aRequest));
+  sending->mConnection = connection;
   auto& stream = connection->mStream;
   stream.expires_at(aOptions.mDeadline);
   result.mMayHaveReached = true;
-  co_await http::async_write(stream, message,
-                             asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) {
-    result.mTimedOut = ec == beast::error::timeout;
-    result.mError = { "send", aEndpoint.Text(), ec.message() };
-    co_return result;
-  }
-  http::response_parser<http::string_body> parser;
-  parser.header_limit(kMostHeaderBytes);
-  parser.body_limit(aOptions.mMostBodyBytes);
-  parser.skip(head);
-  co_await http::async_read(stream, connection->mBuffer, parser,
-                            asio::redirect_error(asio::use_awaitable, ec));
-  if (!ec && !head && parser.need_eof()) {
-    // Nothing would tell a whole body from one that was cut short.
-    ec = http::error::partial_message;
+  if (small) {
+    co_await Send(sending);
+    if (sending->mError) {
+      result.mMayHaveReached = sending->mSent > 0;
+      result.mTimedOut = sending->mError == beast::error::timeout;
+      result.mError = ErrorOf("send", aEndpoint, sending->mError);
+      co_return result;
+    }
+  } else {
+    asio::co_spawn(mExecutor, Send(sending), asio::detached);
   }
+  std::optional<ResponseParser> parser;
+  const auto ec = co_await Receive(connection, head, aOptions, parser);
   if (ec) {
+    const bool unsent = sending->mDone && sending->mError;
     result.mTimedOut = ec == beast::error::timeout;
-    result.mError = { "receive", aEndpoint.Text(), ec.message() };
+    result.mError = ErrorOf(unsent ? "send" : "receive", aEndpoint,
+                            unsent ? sending->mError : ec);
     co_return result;
   }
-  const bool keep = parser.get().keep_alive();
-  result.mResponse = FromBeast(parser.release());
+  const bool whole = sending->mDone && !sending->mError;
+  const bool keep = whole && !parser->need_eof() && parser->get().keep_alive();
+  result.mResponse = FromBeast(parser->release());
   if (keep && connection->mBuffer.size() == 0) {
     stream.expires_never();
     connection->mProven = Clock::now();
-    pool->Keep(aEndpoint, std::move(connection));
+    connection->mIdleLimit =
+      IdleLimitOf(FindHeader(result.mResponse->mHeaders, "Keep-Alive"));
+    pool->Keep(aEndpoint, guard.Keep());
   }
   co_return result;
 }
 
+void HttpClient::DropExpired(TimePoint aNow)
+{
+  mPool->DropExpired(aNow);
+}
+
 ExchangeResult ExchangeNow(const Endpoint& aEndpoint,
                            const HttpRequest& aRequest, Millis aTimeout)
 {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -30,6 +30,17 @@
   /// A kept connection is used only where it was proven live this lately.
   Millis mReuseWithin{ 5'000 };
   std::uint64_t mMostBodyBytes = 32ULL << 20U;
+  /// Longest time to open a connection; 0 for until the deadline.
+  Millis mConnectTimeout{ 0 };
+  /// Longest time without acknowledgement from the peer's host; 0 for the
+  /// system's. Finds hosts without power and connections gone silent.
+  Millis mUnacknowledged{ 0 };
+  /// Header whose value an answer shares with its request; answers to
+  /// earlier requests are skipped by it. Empty where there is none.
+  std::string mAnswerIdName;
+  std::string mAnswerId;
+  /// Accept a body that ends with its connection, if that ends in order.
+  bool mUnframedBody = false;
 };
 
 /// What became of one exchange.
@@ -41,6 +52,9 @@
   bool mMayHaveReached = false;
   bool mTimedOut = false;
   bool mConnectFailed = false;
+  bool mReused = false; ///< A kept connection was used.
+  /// Time to open the connection; nothing where it was kept.
+  std::optional<std::chrono::microseconds> mConnectTime;
 };
 
 class HttpPoolState;
@@ -63,6 +77,8 @@
 
   /// Closes kept connections to one peer.
   void Forget(const Endpoint& aEndpoint);
+  /// Closes connections that have been idle longer than their peer keeps them.
+  void DropExpired(TimePoint aNow);
 
 private:
   boost::asio::any_io_executor mExecutor;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -18,13 +18,6 @@
                                       : aChar;
 }
 
-bool EqualNames(std::string_view aFirst, std::string_view aSecond) noexcept
-{
-  return std::equal(aFirst.begin(), aFirst.end(), aSecond.begin(),
-                    aSecond.end(),
-                    [](char a, char b) { return Lower(a) == Lower(b); });
-}
-
 int HexDigit(char aChar) noexcept
 {
   const char c = Lower(aChar);
@@ -57,11 +50,18 @@
 
 } // namespace
 
+bool SameName(std::string_view aFirst, std::string_view aSecond) noexcept
+{
+  return std::equal(aFirst.begin(), aFirst.end(), aSecond.begin(),
+                    aSecond.end(),
+                    [](char a, char b) { return Lower(a) == Lower(b); });
+}
+
 std::string_view FindHeader(const Headers& aHeaders,
                             std::string_view aName) noexcept
 {
   for (const auto& it : aHeaders) {
-    if (EqualNames(it.mName, aName)) {
+    if (SameName(it.mName, aName)) {
       return it.mValue;
     }
   }
@@ -122,7 +122,7 @@
 {
   return std::any_of(
     kHopByHop.begin(), kHopByHop.end(),
-    [aName](std::string_view a) { return EqualNames(a, aName); });
+    [aName](std::string_view a) { return SameName(a, aName); });
 }
 
 } // namespace guavaline::detail
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -28,6 +28,7 @@
   Headers mHeaders;
   std::string mBody;
   std::uint64_t mConnection = 0; ///< At a server: which connection it came by.
+  TimePoint mArrived{};          ///< At a server: when its header was read.
 };
 
 struct HttpResponse
@@ -54,6 +55,10 @@
 /// Makes a response with a JSON body.
 [[nodiscard]] HttpResponse JsonResponse(unsigned aStatus, std::string aBody);
 
+/// @returns true where two field names are the same but for case
+[[nodiscard]] bool SameName(std::string_view aFirst,
+                            std::string_view aSecond) noexcept;
+
 /// @returns true for hop-by-hop fields, which are not forwarded
 [[nodiscard]] bool IsHopByHop(std::string_view aName) noexcept;
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -95,6 +95,7 @@
   boost::intrusive_ptr<HttpServerState> mServer;
   bool mBusy = false;
   std::uint64_t mId = 0;
+  TimePoint mArrived{}; ///< When the present request's header was read.
 };
 
 class HttpServerState : public boost::intrusive_ref_counter<HttpServerState>
@@ -263,6 +264,7 @@
     co_await RefuseBroken(ec);
     co_return false;
   }
+  mArrived = Clock::now();
   // A body without a length may become as large as is allowed.
   const auto length = parser.content_length().value_or(
     parser.chunked() ? limits.mMostBodyBytes : 0);
@@ -299,6 +301,7 @@
   }
   request.mBody = std::move(message.body());
   request.mConnection = mId;
+  request.mArrived = mArrived;
   const bool head = request.mMethod == "HEAD";
   ++mServer->mInFlight;
   mStream.expires_never();
@@ -385,6 +388,16 @@
   return mState->mAcceptor.local_endpoint(ec).port();
 }
 
+void HttpServer::SetLimits(const HttpServerLimits& aLimits)
+{
+  mState->mLimits = aLimits;
+}
+
+void HttpServer::CloseAfterAnswers()
+{
+  mState->mDraining = true;
+}
+
 void HttpServer::Drain()
 {
   mState->mDraining = true;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -53,6 +53,11 @@
                                    const HttpServerLimits& aLimits);
   /// @returns the port in use
   [[nodiscard]] std::uint16_t Port() const noexcept;
+  /// Takes other limits for requests that are still to come.
+  void SetLimits(const HttpServerLimits& aLimits);
+  /// From now on each answer ends its connection; idle connections stay
+  /// open, since requests may be on their way on them.
+  void CloseAfterAnswers();
   /// Closes idle connections and closes busy ones after their answer; the
   /// listener stays open until Close.
   void Drain();
--- a/src/peers/peer_link.cpp
+++ b/src/peers/peer_link.cpp
@@ -96,6 +96,14 @@
 
 asio::awaitable<PeerReply> PeerClient::Call(Endpoint aPeer, std::string aKind,
                                             std::string aBody, Millis aTimeout)
+{
+  return Call(std::move(aPeer), std::move(aKind), std::move(aBody), aTimeout,
+              mKey);
+}
+
+asio::awaitable<PeerReply> PeerClient::Call(Endpoint aPeer, std::string aKind,
+                                            std::string aBody, Millis aTimeout,
+                                            std::string aKey)
 {
   using namespace asio::experimental::awaitable_operators;
   const auto name = aPeer.Text();
@@ -119,7 +127,8 @@
                         first.index() == 1 ? "timeout" : ec.message());
     }
     socket.set_option(tcp::no_delay(true), ec);
-    session.reset(new PeerSession(std::move(socket), false, mKey, {}));
+    session.reset(
+      new PeerSession(std::move(socket), false, std::move(aKey), {}));
     mSessions[name] = session;
     asio::co_spawn(mExecutor, RunSession(session), asio::detached);
   }
--- a/src/peers/peer_link.hpp
+++ b/src/peers/peer_link.hpp
@@ -60,6 +60,12 @@
                                                        std::string aKind,
                                                        std::string aBody,
                                                        Millis aTimeout);
+  /// Calls a peer that has a key of its own.
+  [[nodiscard]] boost::asio::awaitable<PeerReply> Call(Endpoint aPeer,
+                                                       std::string aKind,
+                                                       std::string aBody,
+                                                       Millis aTimeout,
+                                                       std::string aKey);
 
 private:
   boost::asio::any_io_executor mExecutor;
--- /dev/null
+++ b/src/registry/registry.cpp
@@ -0,0 +1,131 @@
+#include <guavaline/registry/registry.hpp>
+
+#include <guavaline/core/hash.hpp>
+
+#include <algorithm>
+
+namespace guavaline {
+namespace {
+
+void Remove(TargetRegistry& aRegistry, const std::string& aId)
+{
+  const auto it = aRegistry.mTargets.find(aId);
+  if (it == aRegistry.mTargets.end()) {
+    return;
+  }
+  it->second->mLeft = true;
+  auto& list = aRegistry.mByService[it->second->mRegistration.mService];
+  std::erase(list, it->second);
+  aRegistry.mTargets.erase(it);
+}
+
+void Add(TargetRegistry& aRegistry, const Registration& aRegistration,
+         TimePoint aNow)
+{
+  TargetPtr target(new LiveTarget);
+  target->mRegistration = aRegistration;
+  target->mHash = Hash(aRegistration.mId);
+  target->mColdUntil = aNow + aRegistration.mColdLeft;
+  target->mLeft = aRegistration.mDraining;
+  const auto domain = aRegistry.mDomains.find(aRegistration.mFailureDomain);
+  if (domain != aRegistry.mDomains.end()) {
+    target->mRegion = domain->second;
+  }
+  aRegistry.mByService[aRegistration.mService].push_back(target);
+  aRegistry.mTargets[aRegistration.mId] = std::move(target);
+}
+
+bool IsOtherLife(const Registration& aOld, const Registration& aNew)
+{
+  return aOld.mStarted != aNew.mStarted || aOld.mAddress != aNew.mAddress ||
+         aOld.mService != aNew.mService;
+}
+
+} // namespace
+
+RegistryChange TakeRegistration(TargetRegistry& aRegistry,
+                                const Registration& aRegistration,
+                                TimePoint aNow)
+{
+  const auto it = aRegistry.mTargets.find(aRegistration.mId);
+  if (it == aRegistry.mTargets.end()) {
+    Add(aRegistry, aRegistration, aNow);
+    return RegistryChange::Joined;
+  }
+  auto& target = *it->second;
+  if (IsOtherLife(target.mRegistration, aRegistration)) {
+    Remove(aRegistry, aRegistration.mId);
+    Add(aRegistry, aRegistration, aNow);
+    return RegistryChange::Restarted;
+  }
+  const bool drains = aRegistration.mDraining && !target.mLeft;
+  target.mRegistration = aRegistration;
+  target.mLapsesAt.reset();
+  target.mLeft = target.mLeft || aRegistration.mDraining;
+  target.mColdUntil = aNow + aRegistration.mColdLeft;
+  return drains ? RegistryChange::Draining : RegistryChange::None;
+}
+
+RegistryChange TakeRemoval(TargetRegistry& aRegistry, const std::string& aId,
+                           TimePoint aNow)
+{
+  const auto it = aRegistry.mTargets.find(aId);
+  if (it == aRegistry.mTargets.end()) {
+    return RegistryChange::None;
+  }
+  auto& target = *it->second;
+  if (aNow < aRegistry.mTroubleUntil && !target.mLeft) {
+    if (!target.mLapsesAt) {
+      target.mLapsesAt = aRegistry.mTroubleUntil;
+    }
+    return RegistryChange::Lapsed;
+  }
+  Remove(aRegistry, aId);
+  return RegistryChange::Left;
+}
+
+void TakeWholeList(TargetRegistry& aRegistry,
+                   const std::vector<Registration>& aList, TimePoint aNow)
+{
+  std::set<std::string> listed;
+  for (const auto& it : aList) {
+    listed.insert(it.mId);
+    TakeRegistration(aRegistry, it, aNow);
+  }
+  std::vector<std::string> missing;
+  for (const auto& it : aRegistry.mTargets) {
+    if (listed.count(it.first) == 0) {
+      missing.push_back(it.first);
+    }
+  }
+  for (const auto& it : missing) {
+    TakeRemoval(aRegistry, it, aNow);
+  }
+}
+
+void NoteRegistryTrouble(TargetRegistry& aRegistry, TimePoint aNow) noexcept
+{
+  aRegistry.mTroubleUntil = aNow + kLapseGrace;
+}
+
+void ForgetLapsed(TargetRegistry& aRegistry, TimePoint aNow)
+{
+  std::vector<std::string> ended;
+  for (const auto& [id, target] : aRegistry.mTargets) {
+    if (target->mLapsesAt && *target->mLapsesAt <= aNow) {
+      ended.push_back(id);
+    }
+  }
+  for (const auto& it : ended) {
+    Remove(aRegistry, it);
+  }
+}
+
+bool MayServe(const TargetRegistry& aRegistry, const LiveTarget& aTarget,
+              TimePoint aNow)
+{
+  return !aTarget.mLeft && (!aTarget.mLapsesAt || aNow < *aTarget.mLapsesAt) &&
+         aRegistry.mEvacuated.count(aTarget.mRegistration.mFailureDomain) == 0;
+}
+
+} // namespace guavaline
--- /dev/null
+++ b/src/roster/roster.cpp
@@ -0,0 +1,174 @@
+#include <guavaline/roster/roster.hpp>
+
+#include <guavaline/core/hash.hpp>
+
+#include <algorithm>
+
+namespace guavaline {
+namespace {
+
+constexpr std::size_t kPeersPerPeriod = 2;
+/// Most addresses in one answer, from the platform's pages.
+constexpr std::size_t kMostNamed = 64;
+
+bool IsLive(const Roster& aRoster, const RosterEntry& aEntry, TimePoint aNow)
+{
+  if (aEntry.mLeaving) {
+    return false;
+  }
+  // An entry that hears nobody is cut off itself and cannot tell.
+  const bool deaf = aNow - aRoster.mHeardAny > kEntrySilence;
+  return deaf || aNow - aEntry.mHeard <= kEntrySilence;
+}
+
+bool InOwnRegion(const Roster& aRoster, const RosterEntry& aEntry)
+{
+  return aEntry.mRecord.mRegion == aRoster.mSelf.mRegion;
+}
+
+} // namespace
+
+void TakeRecord(Roster& aRoster, const EntryRecord& aRecord, TimePoint aNow)
+{
+  if (aRecord.mName == aRoster.mSelf.mName) {
+    return;
+  }
+  auto& entry = aRoster.mOthers[aRecord.mName];
+  if (entry.mRecord.mIncarnation != aRecord.mIncarnation) {
+    entry.mCounter = 0;
+    entry.mLeaving = false;
+    entry.mHeard = aNow;
+  }
+  entry.mRecord = aRecord;
+  aRoster.mMostSeen = std::max(aRoster.mMostSeen, aRoster.mOthers.size() + 1);
+}
+
+void TakeRecordRemoval(Roster& aRoster, const std::string& aName)
+{
+  aRoster.mOthers.erase(aName);
+}
+
+void TakeAllRecords(Roster& aRoster, const std::vector<EntryRecord>& aList,
+                    TimePoint aNow)
+{
+  std::set<std::string> listed;
+  for (const auto& it : aList) {
+    listed.insert(it.mName);
+    TakeRecord(aRoster, it, aNow);
+  }
+  std::erase_if(aRoster.mOthers, [&listed](const auto& a) {
+    return listed.count(a.first) == 0;
+  });
+}
+
+std::vector<EntryNews> TellNews(const Roster& aRoster, TimePoint aNow)
+{
+  std::vector<EntryNews> out;
+  out.push_back({ aRoster.mSelf.mName, aRoster.mSelf.mIncarnation,
+                  aRoster.mOwnCounter, aRoster.mLeaving });
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    if (InOwnRegion(aRoster, entry) && entry.mCounter > 0 &&
+        aNow - entry.mHeard <= kHeartbeatPeriod * 3) {
+      out.push_back(
+        { name, entry.mRecord.mIncarnation, entry.mCounter, entry.mLeaving });
+    }
+  }
+  return out;
+}
+
+void HearNews(Roster& aRoster, const std::vector<EntryNews>& aNews,
+              TimePoint aNow)
+{
+  for (const auto& it : aNews) {
+    const auto entry = aRoster.mOthers.find(it.mName);
+    if (entry == aRoster.mOthers.end() ||
+        entry->second.mRecord.mIncarnation != it.mIncarnation ||
+        entry->second.mCounter >= it.mCounter) {
+      continue;
+    }
+    entry->second.mCounter = it.mCounter;
+    entry->second.mLeaving = it.mLeaving;
+    entry->second.mHeard = aNow;
+    aRoster.mHeardAny = aNow;
+  }
+}
+
+std::vector<EntryRecord> PeersToCall(const Roster& aRoster, std::uint64_t aTurn)
+{
+  std::vector<const EntryRecord*> peers;
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    if (InOwnRegion(aRoster, entry)) {
+      peers.push_back(&entry.mRecord);
+    }
+  }
+  std::vector<EntryRecord> out;
+  // Start behind the own name, so that entries spread their calls.
+  const auto own = static_cast<std::size_t>(
+    std::count_if(peers.begin(), peers.end(), [&](const EntryRecord* a) {
+      return a->mName < aRoster.mSelf.mName;
+    }));
+  for (std::size_t n = 0; n < std::min(kPeersPerPeriod, peers.size()); ++n) {
+    const auto at = own + aTurn * kPeersPerPeriod + n;
+    out.push_back(*peers[at % peers.size()]);
+  }
+  return out;
+}
+
+std::vector<std::string> EntriesFor(const Roster& aRoster,
+                                    const std::string& aRegion, TimePoint aNow)
+{
+  std::vector<std::string> out;
+  std::vector<std::string> elsewhere;
+  const auto add = [&](const EntryRecord& a) {
+    (a.mRegion == aRegion ? out : elsewhere).push_back(a.mCallerAddress);
+  };
+  if (!aRoster.mLeaving) {
+    add(aRoster.mSelf);
+  }
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    // Heartbeats stay within a region: of others only the record is known.
+    if (!InOwnRegion(aRoster, entry) ? !entry.mLeaving
+                                     : IsLive(aRoster, entry, aNow)) {
+      add(entry.mRecord);
+    }
+  }
+  if (out.empty()) {
+    out = std::move(elsewhere);
+  }
+  if (out.size() > kMostNamed) {
+    out.resize(kMostNamed);
+  }
+  return out;
+}
+
+std::size_t SharingEntries(const Roster& aRoster) noexcept
+{
+  return std::max(aRoster.mMostSeen, aRoster.mOthers.size() + 1);
+}
+
+std::vector<EntryRecord> RecordsToRemove(const Roster& aRoster, TimePoint aNow)
+{
+  std::vector<EntryRecord> out;
+  if (aRoster.mLeaving || aNow - aRoster.mHeardAny > kEntrySilence) {
+    return out;
+  }
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    if (!InOwnRegion(aRoster, entry) || aNow - entry.mHeard < kForgetSilence) {
+      continue;
+    }
+    // One live entry of the region removes it: the one with the highest hash.
+    const auto seed = entry.mRecord.mIncarnation;
+    const auto own = Hash(aRoster.mSelf.mName, seed);
+    const bool first = std::none_of(
+      aRoster.mOthers.begin(), aRoster.mOthers.end(), [&](const auto& a) {
+        return InOwnRegion(aRoster, a.second) &&
+               IsLive(aRoster, a.second, aNow) && Hash(a.first, seed) > own;
+      });
+    if (first) {
+      out.push_back(entry.mRecord);
+    }
+  }
+  return out;
+}
+
+} // namespace guavaline
