Bound how long a watch can hang, and tell outages from cut connections

Ruled out: the gathering pause of 0.3 s; the log shows no watch in between. Change: watches wait 4.5 s (entries' records 15 s); only a second of failing calls lets a lapsed registration be kept.

--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -27,6 +27,7 @@
   bool mListed = false;   ///< Listed at least once in this life.
   bool mConnected = true; ///< The last call worked.
   TimePoint mConfirmed{}; ///< When the view was last known to be current.
+  std::optional<TimePoint> mFailingSince; ///< Set while calls fail.
   std::uint64_t mRevision = 0;
 };
 
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -11,9 +11,14 @@
 
 namespace {
 
-/// How long the store may hold a watch. Dead connections are found sooner,
-/// by keep-alive probes.
-constexpr Millis kWatchWait{ 15'000 };
+/// How long the store may hold a watch. An answer may be lost on the way
+/// without any sign, so that a watch must end well before the least bound on
+/// how old a view may be, counted from when the store is stable again.
+constexpr Millis kWatchWait{ 4'500 };
+/// Entries' records are joined by heartbeats; their watch may wait longer.
+constexpr Millis kWatchEntries{ 15'000 };
+/// Registrations can lapse at the store only in outages longer than this.
+constexpr Millis kShortOutage{ 1'000 };
 /// Pause between watches, in which changes gather; each call has its price.
 /// A fraction of the least bound on how old a view may be (2.5 s).
 constexpr Millis kGatherTime{ 300 };
@@ -189,10 +194,15 @@
   aEntry.mMetrics.Count("store_calls", std::string("kind=\"") + NameOf(aKind) +
                                          "\",call=\"" + aCall + "\"");
   const bool worked = aReply.mStatus == StoreStatus::Ok || aReply.mHistoryGone;
+  if (!worked && !state.mFailingSince) {
+    state.mFailingSince = aNow;
+  }
+  if (state.mFailingSince && aNow - *state.mFailingSince >= kShortOutage) {
+    NoteRegistryTrouble(aEntry.mRegistry, aNow);
+  }
   if (worked) {
     state.mConfirmed = aNow;
-  } else {
-    NoteRegistryTrouble(aEntry.mRegistry, aNow);
+    state.mFailingSince.reset();
   }
   if (worked != state.mConnected) {
     state.mConnected = worked;
@@ -247,13 +257,14 @@
   auto backoff = kFirstBackoff;
   const auto gather =
     aKind == ObjectKind::Entries ? kGatherEntries : kGatherTime;
+  const auto wait = aKind == ObjectKind::Entries ? kWatchEntries : kWatchWait;
   bool listed = false;
   while (true) {
     if (!listed) {
       listed = co_await ListAll(aEntry, aKind);
     } else {
       auto reply =
-        co_await aEntry.mPlatform.mWatch(aKind, state.mRevision, kWatchWait);
+        co_await aEntry.mPlatform.mWatch(aKind, state.mRevision, wait);
       const auto now = Clock::now();
       NoteCall(aEntry, aKind, "watch", reply, now);
       listed = !reply.mHistoryGone;
