Pass views of the store on between entries

Ruled out: asking targets for their health, which costs probes and slots. Change: two entries of a region watch, push changes to the others and confirm their views by heartbeats; each entry watches itself when its view was not confirmed for 2 s. Calls are short while the store is lost.

--- a/include/guavaline/roster/roster.hpp
+++ b/include/guavaline/roster/roster.hpp
@@ -83,11 +83,20 @@
 void HearNews(Roster& aRoster, const std::vector<EntryNews>& aNews,
               TimePoint aNow);
 
-/// @returns the entries that heartbeats go to, in turn
+/// @returns the entries that heartbeats go to, in turn: mostly those of the
+///          own region, at times one of another, which may see a store that
+///          this region does not
 /// @param aTurn  number of the period
 [[nodiscard]] std::vector<EntryRecord> PeersToCall(const Roster& aRoster,
                                                    std::uint64_t aTurn);
 
+/// @returns all other entries of the own region
+[[nodiscard]] std::vector<EntryRecord> RegionPeers(const Roster& aRoster);
+
+/// @returns names of the live entries of the own region, itself included
+[[nodiscard]] std::vector<std::string> LiveInRegion(const Roster& aRoster,
+                                                    TimePoint aNow);
+
 /// @returns the caller addresses to name to a caller from a region
 [[nodiscard]] std::vector<std::string> EntriesFor(const Roster& aRoster,
                                                   const std::string& aRegion,
--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -10,6 +10,7 @@
 #include <guavaline/registry/registry.hpp>
 #include <guavaline/roster/roster.hpp>
 #include <guavaline/routing/routes.hpp>
+#include <guavaline/views/object_view.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -28,15 +29,6 @@
   Entries,     ///< Records of this system's entries.
 };
 
-/// An object, or the removal of one.
-struct ObjectChange
-{
-  std::string mName;
-  std::uint64_t mRevision = 0;
-  bool mRemoved = false;
-  std::string mSpec; ///< JSON text.
-};
-
 /// The answer to a listing or a watch.
 struct ObjectReply
 {
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -21,14 +21,12 @@
 
 namespace guavaline::detail {
 
-/// How an entry's view of one kind of object stands.
+/// How calls to the store about one kind of object go.
 struct FollowState
 {
-  bool mListed = false;   ///< Listed at least once in this life.
-  bool mConnected = true; ///< The last call worked.
-  TimePoint mConfirmed{}; ///< When the view was last known to be current.
+  ObjectView mView;
+  bool mConnected = true;                 ///< The last call worked.
   std::optional<TimePoint> mFailingSince; ///< Set while calls fail.
-  std::uint64_t mRevision = 0;
 };
 
 struct Entry
@@ -85,6 +83,17 @@
 /// Keeps the view of one kind of object; runs until the process ends.
 boost::asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind);
 
+/// Takes in changes of a view, from the store or from another entry.
+void ApplyChanges(Entry& aEntry, ObjectKind aKind,
+                  const std::vector<ObjectChange>& aChanges, TimePoint aNow);
+
+/// Tells the entries of the region of changes that came from the store.
+void PushChanges(Entry& aEntry, ObjectKind aKind, std::uint64_t aFrom,
+                 const std::vector<ObjectChange>& aChanges);
+
+/// @returns a kind's name in logs and messages
+[[nodiscard]] const char* KindName(ObjectKind aKind) noexcept;
+
 /// Keeps the own record in the store and removes those of dead entries.
 boost::asio::awaitable<void> KeepRecords(Entry& aEntry);
 
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -13,35 +13,25 @@
 
 /// How long the store may hold a watch. An answer may be lost on the way
 /// without any sign, so that a watch must end well before the least bound on
-/// how old a view may be, counted from when the store is stable again.
-constexpr Millis kWatchWait{ 4'500 };
-/// Entries' records are joined by heartbeats; their watch may wait longer.
-constexpr Millis kWatchEntries{ 15'000 };
+/// how old a view may be (2.5 s).
+constexpr Millis kWatchWait{ 1'500 };
+/// A view that was not confirmed for this long is followed at the store,
+/// whoever else watches.
+constexpr Millis kStaleAfter{ 2'000 };
+/// Entries' records are joined by heartbeats and may be older.
+constexpr Millis kWatchEntries{ 8'000 };
+constexpr Millis kStaleEntries{ 12'000 };
+/// While calls fail they are short, so that the store's return shows soon.
+constexpr Millis kWatchWhileLost{ 200 };
 /// Registrations can lapse at the store only in outages longer than this.
 constexpr Millis kShortOutage{ 1'000 };
 /// Pause between watches, in which changes gather; each call has its price.
-/// A fraction of the least bound on how old a view may be (2.5 s).
 constexpr Millis kGatherTime{ 300 };
-/// Entries' records matter less and change most often after restarts.
-constexpr Millis kGatherEntries{ 1'000 };
+/// How often an entry that hears from others looks at its view's age.
+constexpr Millis kAgeCheck{ 100 };
 constexpr Millis kFirstBackoff{ 200 };
 constexpr Millis kMostBackoff{ 1'000 };
 
-const char* NameOf(ObjectKind aKind)
-{
-  switch (aKind) {
-    case ObjectKind::Routing:
-      return "routing";
-    case ObjectKind::Targets:
-      return "targets";
-    case ObjectKind::Evacuations:
-      return "evacuations";
-    case ObjectKind::Entries:
-      return "entries";
-  }
-  return "unknown";
-}
-
 void TakeRouting(Entry& aEntry, const ObjectChange& aChange)
 {
   if (aChange.mRemoved) {
@@ -155,44 +145,13 @@
   }
 }
 
-/// Takes in a whole listing; what is not on it is gone.
-void TakeListing(Entry& aEntry, ObjectKind aKind,
-                 const std::vector<ObjectChange>& aAll, TimePoint aNow)
-{
-  if (aKind == ObjectKind::Targets) {
-    std::vector<Registration> list;
-    for (const auto& it : aAll) {
-      if (auto target = aEntry.mPlatform.mReadTarget(it)) {
-        list.push_back(std::move(*target));
-      }
-    }
-    TakeWholeList(aEntry.mRegistry, list, aNow);
-    return;
-  }
-  if (aKind == ObjectKind::Entries) {
-    std::vector<EntryRecord> list;
-    for (const auto& it : aAll) {
-      if (auto record = aEntry.mPlatform.mReadEntry(it)) {
-        list.push_back(std::move(*record));
-      }
-    }
-    TakeAllRecords(aEntry.mRoster, list, aNow);
-    return;
-  }
-  if (aKind == ObjectKind::Evacuations) {
-    aEntry.mRegistry.mEvacuated.clear();
-  }
-  for (const auto& it : aAll) {
-    TakeChange(aEntry, aKind, it, aNow);
-  }
-}
-
 void NoteCall(Entry& aEntry, ObjectKind aKind, const char* aCall,
               const ObjectReply& aReply, TimePoint aNow)
 {
   auto& state = aEntry.mFollows[aKind];
-  aEntry.mMetrics.Count("store_calls", std::string("kind=\"") + NameOf(aKind) +
-                                         "\",call=\"" + aCall + "\"");
+  aEntry.mMetrics.Count("store_calls", std::string("kind=\"") +
+                                         KindName(aKind) + "\",call=\"" +
+                                         aCall + "\"");
   const bool worked = aReply.mStatus == StoreStatus::Ok || aReply.mHistoryGone;
   if (!worked && !state.mFailingSince) {
     state.mFailingSince = aNow;
@@ -201,15 +160,14 @@
     NoteRegistryTrouble(aEntry.mRegistry, aNow);
   }
   if (worked) {
-    state.mConfirmed = aNow;
     state.mFailingSince.reset();
   }
   if (worked != state.mConnected) {
     state.mConnected = worked;
     Log(worked ? LogLevel::Info : LogLevel::Warning,
         worked ? "store_regained" : "store_lost",
-        { { "kind", NameOf(aKind) },
-          { "revision", std::to_string(state.mRevision) },
+        { { "kind", KindName(aKind) },
+          { "revision", std::to_string(state.mView.mRevision) },
           { "error", aReply.mError.Describe() } });
   }
 }
@@ -238,46 +196,100 @@
       break;
     }
   }
-  auto& state = aEntry.mFollows[aKind];
-  TakeListing(aEntry, aKind, all, Clock::now());
-  state.mRevision = revision;
-  state.mListed = true;
+  auto& view = aEntry.mFollows[aKind].mView;
+  const auto now = Clock::now();
+  const bool first = !view.mListed;
+  const auto from = view.mRevision;
+  const auto changes = TakeListing(view, all, revision);
+  Confirm(view, now);
+  ApplyChanges(aEntry, aKind, changes, now);
+  if (!first) {
+    PushChanges(aEntry, aKind, from, changes);
+  }
   Log(LogLevel::Info, "view_listed",
-      { { "kind", NameOf(aKind) },
+      { { "kind", KindName(aKind) },
         { "objects", std::to_string(all.size()) },
+        { "changes", std::to_string(changes.size()) },
         { "revision", std::to_string(revision) } });
   co_return true;
 }
 
+/// Watches once from where the view stands.
+/// @returns false where the view must be listed anew
+asio::awaitable<bool> WatchOnce(Entry& aEntry, ObjectKind aKind, Millis aWait)
+{
+  auto& view = aEntry.mFollows[aKind].mView;
+  const auto started = Clock::now();
+  auto reply = co_await aEntry.mPlatform.mWatch(aKind, view.mRevision, aWait);
+  const auto now = Clock::now();
+  NoteCall(aEntry, aKind, "watch", reply, now);
+  if (reply.mStatus == StoreStatus::Ok) {
+    const auto from = view.mRevision;
+    const auto changes = TakeChanges(view, reply.mChanges, reply.mRevision);
+    // A late answer confirms no more than an early one would.
+    Confirm(view, std::max(started, now - aWait));
+    ApplyChanges(aEntry, aKind, changes, now);
+    PushChanges(aEntry, aKind, from, changes);
+  }
+  co_return !reply.mHistoryGone;
+}
+
+/// True where another entry's word on the view will do.
+bool HearsEnough(Entry& aEntry, ObjectKind aKind, Millis aStaleAfter,
+                 TimePoint aNow)
+{
+  const auto& view = aEntry.mFollows[aKind].mView;
+  return view.mListed && aNow - view.mConfirmed < aStaleAfter &&
+         !IsWatcher(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, aNow));
+}
+
 } // namespace
 
+const char* KindName(ObjectKind aKind) noexcept
+{
+  switch (aKind) {
+    case ObjectKind::Routing:
+      return "routing";
+    case ObjectKind::Targets:
+      return "targets";
+    case ObjectKind::Evacuations:
+      return "evacuations";
+    case ObjectKind::Entries:
+      return "entries";
+  }
+  return "unknown";
+}
+
+void ApplyChanges(Entry& aEntry, ObjectKind aKind,
+                  const std::vector<ObjectChange>& aChanges, TimePoint aNow)
+{
+  for (const auto& it : aChanges) {
+    TakeChange(aEntry, aKind, it, aNow);
+  }
+}
+
 asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind)
 {
   auto& state = aEntry.mFollows[aKind];
+  const bool entries = aKind == ObjectKind::Entries;
+  const auto wait = entries ? kWatchEntries : kWatchWait;
+  const auto stale = entries ? kStaleEntries : kStaleAfter;
   auto backoff = kFirstBackoff;
-  const auto gather =
-    aKind == ObjectKind::Entries ? kGatherEntries : kGatherTime;
-  const auto wait = aKind == ObjectKind::Entries ? kWatchEntries : kWatchWait;
   bool listed = false;
   while (true) {
+    if (HearsEnough(aEntry, aKind, stale, Clock::now())) {
+      co_await Pause(aEntry, kAgeCheck);
+      continue;
+    }
     if (!listed) {
       listed = co_await ListAll(aEntry, aKind);
     } else {
-      auto reply =
-        co_await aEntry.mPlatform.mWatch(aKind, state.mRevision, wait);
-      const auto now = Clock::now();
-      NoteCall(aEntry, aKind, "watch", reply, now);
-      listed = !reply.mHistoryGone;
-      if (reply.mStatus == StoreStatus::Ok) {
-        for (const auto& it : reply.mChanges) {
-          TakeChange(aEntry, aKind, it, now);
-        }
-        state.mRevision = std::max(state.mRevision, reply.mRevision);
-      }
+      listed = co_await WatchOnce(aEntry, aKind,
+                                  state.mConnected ? wait : kWatchWhileLost);
     }
     if (state.mConnected) {
       backoff = kFirstBackoff;
-      co_await Pause(aEntry, listed ? gather : Millis(1));
+      co_await Pause(aEntry, listed ? kGatherTime : Millis(1));
     } else {
       co_await Pause(aEntry, backoff);
       backoff = std::min(backoff * 2, kMostBackoff);
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -1,8 +1,6 @@
-/// Records of entries in the store, and heartbeats between the entries of a
-/// region.
+/// Records of entries in the store, and heartbeats between entries.
 
-#include "codec/described.hpp"
-#include "entry/entry.hpp"
+#include "entry/messages.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -11,25 +9,12 @@
 
 #include <charconv>
 
-namespace guavaline {
-
-BOOST_DESCRIBE_STRUCT(EntryNews, (), (mName, mIncarnation, mCounter, mLeaving))
-
-namespace detail {
-
-/// A heartbeat and its answer.
-struct EntryHeartbeat
-{
-  std::vector<EntryNews> mNews;
-  std::vector<std::string> mCrashers; ///< Digests of requests that crash.
-};
-BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mNews, mCrashers))
+namespace guavaline::detail {
 
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr const char* kHeartbeatKind = "entry-heartbeat";
 constexpr Millis kCallTimeout{ 1'000 };
 constexpr Millis kRecordRetry{ 500 };
 constexpr Millis kRecordCheck{ 3'000 };
@@ -41,17 +26,22 @@
   const auto now = Clock::now();
   EntryHeartbeat out;
   out.mNews = TellNews(aEntry.mRoster, now);
+  out.mViews = TellViews(aEntry, now);
   for (const auto it : ListCrashers(aEntry.mCrashers, now, kMostCrashersTold)) {
     out.mCrashers.push_back(HexId(it));
   }
   return ToJson(out);
 }
 
-bool TakeIn(Entry& aEntry, const std::string& aBody)
+/// Takes in a heartbeat.
+/// @returns the kinds of which the peer's view goes further; nothing where
+///          the heartbeat cannot be read
+std::optional<std::vector<ObjectKind>> TakeIn(Entry& aEntry,
+                                              const std::string& aBody)
 {
   EntryHeartbeat heartbeat;
   if (!FromJson(aBody, heartbeat).empty()) {
-    return false;
+    return std::nullopt;
   }
   const auto now = Clock::now();
   HearNews(aEntry.mRoster, heartbeat.mNews, now);
@@ -62,7 +52,7 @@
       NoteRefusedByPeer(aEntry.mCrashers, digest, now);
     }
   }
-  return true;
+  return HearViews(aEntry, heartbeat.mViews, now);
 }
 
 asio::awaitable<void> CallPeer(Entry& aEntry, EntryRecord aPeer)
@@ -74,9 +64,14 @@
   const std::string body = MakeHeartbeat(aEntry);
   const auto reply = co_await aEntry.mPeers.Call(
     *endpoint, kHeartbeatKind, body, kCallTimeout, aPeer.mPeerKey);
-  if (!reply.mBody || !TakeIn(aEntry, *reply.mBody)) {
+  const auto newer = reply.mBody ? TakeIn(aEntry, *reply.mBody) : std::nullopt;
+  if (!newer) {
     Log(LogLevel::Debug, "heartbeat_failed",
         { { "entry", aPeer.mName }, { "error", reply.mError.Describe() } });
+    co_return;
+  }
+  for (const auto it : *newer) {
+    co_await PullView(aEntry, aPeer, it);
   }
 }
 
@@ -97,6 +92,15 @@
                                                         std::string aKind,
                                                         std::string aBody)
 {
+  if (aKind == kPullKind) {
+    co_return AnswerPull(aEntry, aBody);
+  }
+  if (aKind == kPushKind) {
+    TakePush(aEntry, aBody);
+    co_return std::string("{}");
+  }
+  // The caller pulls from the answer what it lacks; what this entry lacks it
+  // pulls in its own turn.
   if (aKind != kHeartbeatKind || !TakeIn(aEntry, aBody)) {
     co_return std::nullopt;
   }
@@ -121,5 +125,4 @@
   }
 }
 
-} // namespace detail
-} // namespace guavaline
+} // namespace guavaline::detail
--- a/src/entry/lookups.cpp
+++ b/src/entry/lookups.cpp
@@ -29,8 +29,9 @@
   const auto targets = aEntry.mFollows.find(ObjectKind::Targets);
   const auto evacuations = aEntry.mFollows.find(ObjectKind::Evacuations);
   return aEntry.mRouting.mVersion > 0 && targets != aEntry.mFollows.end() &&
-         targets->second.mListed && evacuations != aEntry.mFollows.end() &&
-         evacuations->second.mListed;
+         targets->second.mView.mListed &&
+         evacuations != aEntry.mFollows.end() &&
+         evacuations->second.mView.mListed;
 }
 
 asio::awaitable<HttpResponse> AnswerLookup(Entry& aEntry, HttpRequest aRequest)
--- /dev/null
+++ b/src/entry/messages.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+/// Messages between entry hosts.
+
+#include "codec/described.hpp"
+#include "entry/entry.hpp"
+
+namespace guavaline {
+
+BOOST_DESCRIBE_STRUCT(EntryNews, (), (mName, mIncarnation, mCounter, mLeaving))
+
+namespace detail {
+
+BOOST_DESCRIBE_ENUM(ObjectKind, Routing, Targets, Evacuations, Entries)
+
+inline constexpr const char* kHeartbeatKind = "entry-heartbeat";
+inline constexpr const char* kPullKind = "entry-view-changes";
+inline constexpr const char* kPushKind = "entry-view-news";
+
+/// How far a view goes, and how long ago the store confirmed it.
+struct ViewNews
+{
+  ObjectKind mKind = ObjectKind::Routing;
+  std::uint64_t mRevision = 0;
+  Millis mAge{ 0 };
+};
+
+/// A heartbeat and its answer.
+struct EntryHeartbeat
+{
+  std::vector<EntryNews> mNews;
+  std::vector<std::string> mCrashers; ///< Digests of requests that crash.
+  std::vector<ViewNews> mViews;
+};
+
+/// Asks for the changes of a view after a revision.
+struct ViewQuestion
+{
+  ObjectKind mKind = ObjectKind::Routing;
+  std::uint64_t mFrom = 0;
+};
+
+/// Changes of a view after one revision up to another.
+struct ViewMessage
+{
+  ViewNews mView;
+  std::uint64_t mFrom = 0;
+  bool mWhole = false; ///< All changes in between are there.
+  std::vector<std::string> mNames;
+  std::vector<std::string> mSpecs; ///< An empty text for a removal.
+  std::vector<std::uint64_t> mRevisions;
+};
+
+BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge))
+BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mNews, mCrashers, mViews))
+BOOST_DESCRIBE_STRUCT(ViewQuestion, (), (mKind, mFrom))
+BOOST_DESCRIBE_STRUCT(ViewMessage, (),
+                      (mView, mFrom, mWhole, mNames, mSpecs, mRevisions))
+
+/// @returns what to tell of all views
+[[nodiscard]] std::vector<ViewNews> TellViews(const Entry& aEntry,
+                                              TimePoint aNow);
+
+/// Takes in how far a peer's views go.
+/// @returns the kinds of which the peer has more
+[[nodiscard]] std::vector<ObjectKind> HearViews(
+  Entry& aEntry, const std::vector<ViewNews>& aViews, TimePoint aNow);
+
+/// Fetches what a peer has beyond the own view.
+boost::asio::awaitable<void> PullView(Entry& aEntry, EntryRecord aPeer,
+                                      ObjectKind aKind);
+
+/// Answers a peer's question for changes.
+[[nodiscard]] std::string AnswerPull(Entry& aEntry, const std::string& aBody);
+
+/// Takes in changes that a peer sent unasked.
+void TakePush(Entry& aEntry, const std::string& aBody);
+
+} // namespace detail
+} // namespace guavaline
--- /dev/null
+++ b/src/entry/relay.cpp
@@ -0,0 +1,160 @@
+/// Passes views of the store on between entries.
+
+#include "entry/messages.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace guavaline::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr Millis kCallTimeout{ 1'000 };
+/// Ages above this are told as this.
+constexpr Millis kMostAge{ 600'000 };
+
+ViewNews NewsOf(ObjectKind aKind, const ObjectView& aView, TimePoint aNow)
+{
+  const auto age = std::chrono::duration_cast<Millis>(aNow - aView.mConfirmed);
+  return { aKind, aView.mRevision, std::clamp(age, Millis(0), kMostAge) };
+}
+
+ViewMessage MakeMessage(ObjectKind aKind, const ObjectView& aView,
+                        std::uint64_t aFrom,
+                        const std::vector<ObjectChange>& aChanges)
+{
+  ViewMessage out;
+  out.mView = NewsOf(aKind, aView, Clock::now());
+  out.mFrom = aFrom;
+  out.mWhole = true;
+  for (const auto& it : aChanges) {
+    out.mNames.push_back(it.mName);
+    out.mSpecs.push_back(it.mRemoved ? std::string() : it.mSpec);
+    out.mRevisions.push_back(it.mRevision);
+  }
+  return out;
+}
+
+/// Takes in another entry's changes, if they join on to the own view.
+void TakeMessage(Entry& aEntry, const ViewMessage& aMessage)
+{
+  auto& view = aEntry.mFollows[aMessage.mView.mKind].mView;
+  const auto n = aMessage.mNames.size();
+  if (!aMessage.mWhole || !view.mListed || view.mRevision < aMessage.mFrom ||
+      aMessage.mSpecs.size() != n || aMessage.mRevisions.size() != n) {
+    return;
+  }
+  std::vector<ObjectChange> changes;
+  for (std::size_t k = 0; k < n; ++k) {
+    changes.push_back({ aMessage.mNames[k], aMessage.mRevisions[k],
+                        aMessage.mSpecs[k].empty(), aMessage.mSpecs[k] });
+  }
+  const auto now = Clock::now();
+  const bool current = aMessage.mView.mRevision >= view.mRevision;
+  const auto fresh = TakeChanges(view, changes, aMessage.mView.mRevision);
+  if (current) {
+    Confirm(view, now - aMessage.mView.mAge);
+  }
+  ApplyChanges(aEntry, aMessage.mView.mKind, fresh, now);
+}
+
+asio::awaitable<void> PushTo(Entry& aEntry, EntryRecord aPeer,
+                             std::string aBody)
+{
+  const auto endpoint = ParseEndpoint(aPeer.mPeerAddress);
+  if (endpoint) {
+    // A push that is lost is made good by the next heartbeat.
+    co_await aEntry.mPeers.Call(*endpoint, kPushKind, std::move(aBody),
+                                kCallTimeout, aPeer.mPeerKey);
+  }
+}
+
+} // namespace
+
+std::vector<ViewNews> TellViews(const Entry& aEntry, TimePoint aNow)
+{
+  std::vector<ViewNews> out;
+  for (const auto& [kind, state] : aEntry.mFollows) {
+    if (state.mView.mListed) {
+      out.push_back(NewsOf(kind, state.mView, aNow));
+    }
+  }
+  return out;
+}
+
+std::vector<ObjectKind> HearViews(Entry& aEntry,
+                                  const std::vector<ViewNews>& aViews,
+                                  TimePoint aNow)
+{
+  std::vector<ObjectKind> out;
+  for (const auto& it : aViews) {
+    auto& view = aEntry.mFollows[it.mKind].mView;
+    if (!view.mListed) {
+      continue;
+    }
+    if (it.mRevision > view.mRevision) {
+      out.push_back(it.mKind);
+    } else if (it.mRevision == view.mRevision) {
+      Confirm(view, aNow - it.mAge);
+    }
+  }
+  return out;
+}
+
+asio::awaitable<void> PullView(Entry& aEntry, EntryRecord aPeer,
+                               ObjectKind aKind)
+{
+  const auto endpoint = ParseEndpoint(aPeer.mPeerAddress);
+  if (!endpoint) {
+    co_return;
+  }
+  const ViewQuestion question{ aKind, aEntry.mFollows[aKind].mView.mRevision };
+  const std::string body = ToJson(question);
+  const auto reply = co_await aEntry.mPeers.Call(*endpoint, kPullKind, body,
+                                                 kCallTimeout, aPeer.mPeerKey);
+  ViewMessage message;
+  if (reply.mBody && FromJson(*reply.mBody, message).empty()) {
+    TakeMessage(aEntry, message);
+  }
+}
+
+std::string AnswerPull(Entry& aEntry, const std::string& aBody)
+{
+  ViewQuestion question;
+  ViewMessage message;
+  if (!FromJson(aBody, question).empty()) {
+    return ToJson(message);
+  }
+  const auto& view = aEntry.mFollows[question.mKind].mView;
+  if (const auto changes = ChangesSince(view, question.mFrom)) {
+    message = MakeMessage(question.mKind, view, question.mFrom, *changes);
+  }
+  return ToJson(message);
+}
+
+void TakePush(Entry& aEntry, const std::string& aBody)
+{
+  ViewMessage message;
+  if (FromJson(aBody, message).empty()) {
+    TakeMessage(aEntry, message);
+  }
+}
+
+void PushChanges(Entry& aEntry, ObjectKind aKind, std::uint64_t aFrom,
+                 const std::vector<ObjectChange>& aChanges)
+{
+  if (aChanges.empty()) {
+    return;
+  }
+  const auto& view = aEntry.mFollows[aKind].mView;
+  const auto body = ToJson(MakeMessage(aKind, view, aFrom, aChanges));
+  for (const auto& it : RegionPeers(aEntry.mRoster)) {
+    asio::co_spawn(aEntry.mContext, PushTo(aEntry, it, body), asio::detached);
+  }
+}
+
+} // namespace guavaline::detail
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t kPeersPerPeriod = 2;
+/// An entry of another region is called each this many periods.
+constexpr std::uint64_t kFarEvery = 2;
 /// Most addresses in one answer, from the platform's pages.
 constexpr std::size_t kMostNamed = 64;
 
@@ -93,15 +95,40 @@
   }
 }
 
-std::vector<EntryRecord> PeersToCall(const Roster& aRoster, std::uint64_t aTurn)
+std::vector<EntryRecord> RegionPeers(const Roster& aRoster)
 {
-  std::vector<const EntryRecord*> peers;
+  std::vector<EntryRecord> out;
   for (const auto& [name, entry] : aRoster.mOthers) {
     if (InOwnRegion(aRoster, entry)) {
-      peers.push_back(&entry.mRecord);
+      out.push_back(entry.mRecord);
+    }
+  }
+  return out;
+}
+
+std::vector<std::string> LiveInRegion(const Roster& aRoster, TimePoint aNow)
+{
+  std::vector<std::string> out{ aRoster.mSelf.mName };
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    if (InOwnRegion(aRoster, entry) && IsLive(aRoster, entry, aNow)) {
+      out.push_back(name);
     }
   }
+  return out;
+}
+
+std::vector<EntryRecord> PeersToCall(const Roster& aRoster, std::uint64_t aTurn)
+{
+  std::vector<const EntryRecord*> peers;
+  std::vector<const EntryRecord*> far;
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    (InOwnRegion(aRoster, entry) ? peers : far).push_back(&entry.mRecord);
+  }
   std::vector<EntryRecord> out;
+  if (!far.empty() && aTurn % kFarEvery == 0) {
+    const auto start = Hash(aRoster.mSelf.mName);
+    out.push_back(*far[(start + aTurn / kFarEvery) % far.size()]);
+  }
   // Start behind the own name, so that entries spread their calls.
   const auto own = static_cast<std::size_t>(
     std::count_if(peers.begin(), peers.end(), [&](const EntryRecord* a) {
