One watcher a region, confirmed to all of it at each answer

Change: the first entry of a region watches and pushes each answer within it; heartbeats follow fixed distances on the ring of names.

--- a/include/guavaline/roster/roster.hpp
+++ b/include/guavaline/roster/roster.hpp
@@ -61,7 +61,7 @@
 /// an entry that has ended: seven periods fit.
 inline constexpr Millis kHeartbeatPeriod{ 600 };
 /// Silence after which an entry is taken as dead.
-inline constexpr Millis kEntrySilence{ 3'500 };
+inline constexpr Millis kEntrySilence{ 4'000 };
 /// Silence after which the record of an entry is removed from the store.
 inline constexpr Millis kForgetSilence{ 12'000 };
 
@@ -90,8 +90,9 @@
 [[nodiscard]] std::vector<EntryRecord> PeersToCall(const Roster& aRoster,
                                                    std::uint64_t aTurn);
 
-/// @returns all other entries of the own region
-[[nodiscard]] std::vector<EntryRecord> RegionPeers(const Roster& aRoster);
+/// @returns the other live entries of the own region
+[[nodiscard]] std::vector<EntryRecord> LivePeers(const Roster& aRoster,
+                                                 TimePoint aNow);
 
 /// @returns names of the live entries of the own region, itself included
 [[nodiscard]] std::vector<std::string> LiveInRegion(const Roster& aRoster,
--- a/include/guavaline/views/object_view.hpp
+++ b/include/guavaline/views/object_view.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 /// A view of the store's objects of one kind, which entries pass on to each
-/// other: a few entries of a region watch the store, the others hear from
-/// them, and each falls back on the store when what it hears grows old.
+/// other: one entry of each region watches the store, all others hear from
+/// these, and each falls back on the store when what it hears grows old.
 
 #include <guavaline/core/time.hpp>
 
@@ -53,8 +53,7 @@
 /// Notes that the view was confirmed.
 void Confirm(ObjectView& aView, TimePoint aWhen) noexcept;
 
-/// @returns true for the entries of a region that watch the store, so that
-///          the others need not
+/// @returns true for the entry of a region that watches the store for all
 /// @param aLive  names of the region's live entries, the own one included
 [[nodiscard]] bool IsWatcher(const std::string& aSelf,
                              const std::vector<std::string>& aLive);
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -27,6 +27,7 @@
   ObjectView mView;
   bool mConnected = true;                 ///< The last call worked.
   std::optional<TimePoint> mFailingSince; ///< Set while calls fail.
+  TimePoint mCalled{};                    ///< When the last call ended.
 };
 
 struct Entry
@@ -87,7 +88,8 @@
 void ApplyChanges(Entry& aEntry, ObjectKind aKind,
                   const std::vector<ObjectChange>& aChanges, TimePoint aNow);
 
-/// Tells the entries of the region of changes that came from the store.
+/// Tells the entries of the region what the store said: the changes, if any,
+/// and that the view was current.
 void PushChanges(Entry& aEntry, ObjectKind aKind, std::uint64_t aFrom,
                  const std::vector<ObjectChange>& aChanges);
 
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -11,16 +11,37 @@
 
 namespace {
 
-/// How long the store may hold a watch. An answer may be lost on the way
-/// without any sign, so that a watch must end well before the least bound on
-/// how old a view may be (2.5 s).
-constexpr Millis kWatchWait{ 1'500 };
-/// A view that was not confirmed for this long is followed at the store,
-/// whoever else watches.
-constexpr Millis kStaleAfter{ 2'000 };
-/// Entries' records are joined by heartbeats and may be older.
-constexpr Millis kWatchEntries{ 8'000 };
-constexpr Millis kStaleEntries{ 12'000 };
+/// How views of one kind are kept current.
+struct FollowTimes
+{
+  /// How long the store may hold a watch. An answer may be lost on the way
+  /// without any sign, so that a watch must end well before the bound on how
+  /// old a view may be.
+  Millis mWait;
+  /// A view that was not confirmed for this long is followed at the store,
+  /// whoever else watches.
+  Millis mStaleAfter;
+};
+
+/// The least bound on routes and on targets that leave is 2.5 s, that on
+/// evacuations 5 s. Entries' records are joined by heartbeats.
+FollowTimes TimesFor(ObjectKind aKind)
+{
+  switch (aKind) {
+    case ObjectKind::Routing:
+    case ObjectKind::Targets:
+      break;
+    case ObjectKind::Evacuations:
+      return { Millis(3'000), Millis(3'800) };
+    case ObjectKind::Entries:
+      return { Millis(8'000), Millis(12'000) };
+  }
+  return { Millis(1'500), Millis(2'100) };
+}
+
+/// An entry that the store turns away asks it this often while others keep
+/// its view current.
+constexpr Millis kProbeWhileHearing{ 3'000 };
 /// While calls fail they are short, so that the store's return shows soon.
 constexpr Millis kWatchWhileLost{ 200 };
 /// Registrations can lapse at the store only in outages longer than this.
@@ -149,6 +170,7 @@
               const ObjectReply& aReply, TimePoint aNow)
 {
   auto& state = aEntry.mFollows[aKind];
+  state.mCalled = aNow;
   aEntry.mMetrics.Count("store_calls", std::string("kind=\"") +
                                          KindName(aKind) + "\",call=\"" +
                                          aCall + "\"");
@@ -219,28 +241,31 @@
 asio::awaitable<bool> WatchOnce(Entry& aEntry, ObjectKind aKind, Millis aWait)
 {
   auto& view = aEntry.mFollows[aKind].mView;
-  const auto started = Clock::now();
   auto reply = co_await aEntry.mPlatform.mWatch(aKind, view.mRevision, aWait);
   const auto now = Clock::now();
   NoteCall(aEntry, aKind, "watch", reply, now);
   if (reply.mStatus == StoreStatus::Ok) {
     const auto from = view.mRevision;
     const auto changes = TakeChanges(view, reply.mChanges, reply.mRevision);
-    // A late answer confirms no more than an early one would.
-    Confirm(view, std::max(started, now - aWait));
+    Confirm(view, now);
     ApplyChanges(aEntry, aKind, changes, now);
     PushChanges(aEntry, aKind, from, changes);
   }
   co_return !reply.mHistoryGone;
 }
 
-/// True where another entry's word on the view will do.
-bool HearsEnough(Entry& aEntry, ObjectKind aKind, Millis aStaleAfter,
-                 TimePoint aNow)
+/// True where another entry's word on the view will do for now.
+bool HearsEnough(Entry& aEntry, ObjectKind aKind, TimePoint aNow)
 {
-  const auto& view = aEntry.mFollows[aKind].mView;
-  return view.mListed && aNow - view.mConfirmed < aStaleAfter &&
-         !IsWatcher(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, aNow));
+  const auto& state = aEntry.mFollows[aKind];
+  const auto& view = state.mView;
+  if (!view.mListed || aNow - view.mConfirmed >= TimesFor(aKind).mStaleAfter) {
+    return false;
+  }
+  if (!state.mConnected) {
+    return aNow - state.mCalled < kProbeWhileHearing;
+  }
+  return !IsWatcher(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, aNow));
 }
 
 } // namespace
@@ -271,13 +296,11 @@
 asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind)
 {
   auto& state = aEntry.mFollows[aKind];
-  const bool entries = aKind == ObjectKind::Entries;
-  const auto wait = entries ? kWatchEntries : kWatchWait;
-  const auto stale = entries ? kStaleEntries : kStaleAfter;
+  const auto wait = TimesFor(aKind).mWait;
   auto backoff = kFirstBackoff;
   bool listed = false;
   while (true) {
-    if (HearsEnough(aEntry, aKind, stale, Clock::now())) {
+    if (HearsEnough(aEntry, aKind, Clock::now())) {
       co_await Pause(aEntry, kAgeCheck);
       continue;
     }
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -147,12 +147,9 @@
 void PushChanges(Entry& aEntry, ObjectKind aKind, std::uint64_t aFrom,
                  const std::vector<ObjectChange>& aChanges)
 {
-  if (aChanges.empty()) {
-    return;
-  }
   const auto& view = aEntry.mFollows[aKind].mView;
   const auto body = ToJson(MakeMessage(aKind, view, aFrom, aChanges));
-  for (const auto& it : RegionPeers(aEntry.mRoster)) {
+  for (const auto& it : LivePeers(aEntry.mRoster, Clock::now())) {
     asio::co_spawn(aEntry.mContext, PushTo(aEntry, it, body), asio::detached);
   }
 }
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -95,11 +95,11 @@
   }
 }
 
-std::vector<EntryRecord> RegionPeers(const Roster& aRoster)
+std::vector<EntryRecord> LivePeers(const Roster& aRoster, TimePoint aNow)
 {
   std::vector<EntryRecord> out;
   for (const auto& [name, entry] : aRoster.mOthers) {
-    if (InOwnRegion(aRoster, entry)) {
+    if (InOwnRegion(aRoster, entry) && IsLive(aRoster, entry, aNow)) {
       out.push_back(entry.mRecord);
     }
   }
@@ -129,14 +129,19 @@
     const auto start = Hash(aRoster.mSelf.mName);
     out.push_back(*far[(start + aTurn / kFarEvery) % far.size()]);
   }
-  // Start behind the own name, so that entries spread their calls.
+  // Peers at distances 1, 2, 4, ... along the ring of names: news reaches all
+  // within a few periods over few connections.
   const auto own = static_cast<std::size_t>(
     std::count_if(peers.begin(), peers.end(), [&](const EntryRecord* a) {
       return a->mName < aRoster.mSelf.mName;
     }));
-  for (std::size_t n = 0; n < std::min(kPeersPerPeriod, peers.size()); ++n) {
-    const auto at = own + aTurn * kPeersPerPeriod + n;
-    out.push_back(*peers[at % peers.size()]);
+  std::vector<std::size_t> fingers;
+  for (std::size_t distance = 1; distance <= peers.size(); distance *= 2) {
+    fingers.push_back((own + distance - 1) % peers.size());
+  }
+  for (std::size_t n = 0; n < std::min(kPeersPerPeriod, fingers.size()); ++n) {
+    const auto at = (aTurn * kPeersPerPeriod + n) % fingers.size();
+    out.push_back(*peers[fingers[at]]);
   }
   return out;
 }
--- a/src/views/object_view.cpp
+++ b/src/views/object_view.cpp
@@ -10,8 +10,6 @@
 
 /// Removals kept for entries that were out of reach for a while.
 constexpr std::size_t kMostRemovals = 1'000;
-/// Watchers of a region: one may fail unseen for as long as a watch waits.
-constexpr std::size_t kWatchers = 2;
 
 void NoteRemoval(ObjectView& aView, const ObjectChange& aChange)
 {
@@ -125,10 +123,8 @@
 bool IsWatcher(const std::string& aSelf, const std::vector<std::string>& aLive)
 {
   const auto own = Hash(aSelf);
-  const auto before =
-    std::count_if(aLive.begin(), aLive.end(),
-                  [own](const std::string& a) { return Hash(a) > own; });
-  return static_cast<std::size_t>(before) < kWatchers;
+  return std::none_of(aLive.begin(), aLive.end(),
+                      [own](const std::string& a) { return Hash(a) > own; });
 }
 
 } // namespace guavaline
