Bound shifts between regions, and the rate at targets that cannot be seen

Ruled out: probing health during outages; it cannot show what happens within the first second. Change: the share that leaves the region starts from slots and entries, and moves by at most 0.9 of the bound a window unless no target of the other side has room; a target whose registrations were not confirmed for 4.5 s, or whose failure domain returned within 3 s, is sent less than the cold bound. Cold targets serve where there are no others.

--- a/include/guavaline/placement/load.hpp
+++ b/include/guavaline/placement/load.hpp
@@ -22,7 +22,7 @@
   double mFailing = 0;   ///< Part of the late exchanges that failed, 0 to 1.
   std::uint32_t mFailures = 0; ///< Failures to connect or answer in a row.
   TimePoint mEjectedUntil{};
-  TimePoint mColdSend{}; ///< When the last request went to it while cold.
+  TimePoint mLastSend{}; ///< When the last request went to it.
 };
 
 /// Load that an answer reports.
--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -5,6 +5,7 @@
 /// targets known to be warm, the one with the earliest expected end is taken.
 /// Spilled requests of an object so meet at its next owner and find it warm.
 
+#include <guavaline/placement/region_share.hpp>
 #include <guavaline/placement/service_time.hpp>
 #include <guavaline/registry/registry.hpp>
 #include <guavaline/routing/routes.hpp>
@@ -25,6 +26,14 @@
   std::set<std::string> mExcluded; ///< Ids of targets that failed it.
 };
 
+/// Requests a second that a cold target bears, from all entries together.
+struct ColdBound
+{
+  double mRate = 1;  ///< Of the target's service.
+  double mOver = 1;  ///< Factor on the rate, ...
+  double mSlack = 0; ///< ... and requests on top of it.
+};
+
 /// What an entry knows when it places requests.
 struct PlacementView
 {
@@ -32,7 +41,12 @@
   const RoundTrips& mTrips;
   const WarmTable& mWarm;
   const RunTimes& mRunTimes; ///< Of the request's route.
-  std::size_t mEntries = 1;  ///< Entries that share the targets.
+  ColdBound mCold;
+  std::size_t mEntries = 1;       ///< Entries that share the targets.
+  std::size_t mRegionEntries = 1; ///< Those of the own region.
+  /// The view of the targets is old: any of them may have become cold.
+  bool mUnseen = false;
+  RegionLeeway mLeeway;
 };
 
 /// Why there is no target.
@@ -51,6 +65,7 @@
   Millis mRoundTrip{ 0 };
   Millis mWait{ 0 };     ///< Expected in the target's queue.
   Millis mRun{ 0 };      ///< Expected without waiting.
+  bool mFar = false;     ///< In another region than the entry.
   Millis mClearsIn{ 0 }; ///< When refused: when there should be room.
 };
 
@@ -61,7 +76,16 @@
 
 /// @returns true where a cold target may get one more request from this
 ///          entry now; all entries together stay below its rate
-[[nodiscard]] bool MaySendCold(const LiveTarget& aTarget, double aColdRate,
-                               std::size_t aEntries, TimePoint aNow) noexcept;
+[[nodiscard]] bool MaySendCold(const LiveTarget& aTarget,
+                               const ColdBound& aBound, std::size_t aEntries,
+                               TimePoint aNow) noexcept;
+
+/// @returns true where a target that may have become cold unseen may get one
+///          more request from this entry now; the entries of the region, which
+///          send it most of its requests, stay below the bound together
+[[nodiscard]] bool MaySendUnseen(const LiveTarget& aTarget,
+                                 const ColdBound& aBound,
+                                 std::size_t aRegionEntries,
+                                 TimePoint aNow) noexcept;
 
 } // namespace guavaline
--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -58,7 +58,8 @@
   std::map<std::string, TargetPtr> mTargets; ///< By id.
   std::map<std::string, std::vector<TargetPtr>> mByService;
   std::set<std::string> mEvacuated; ///< Failure domains that get no work.
-  TimePoint mTroubleUntil{};        ///< Lapses until then may be false.
+  std::map<std::string, TimePoint> mReturned; ///< Ends of evacuations.
+  TimePoint mTroubleUntil{}; ///< Lapses until then may be false.
 };
 
 /// What a change did to a target.
@@ -91,6 +92,11 @@
 /// Notes that the registry could not be reached until now.
 void NoteRegistryTrouble(TargetRegistry& aRegistry, TimePoint aNow) noexcept;
 
+/// Takes in that a failure domain is to be emptied, or serves again.
+/// @returns true where that is new
+bool TakeEvacuation(TargetRegistry& aRegistry, const std::string& aDomain,
+                    bool aEmptied, TimePoint aNow);
+
 /// Removes targets whose grace period has ended.
 void ForgetLapsed(TargetRegistry& aRegistry, TimePoint aNow);
 
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -47,6 +47,7 @@
   std::map<ObjectKind, FollowState> mFollows;
   RoundTrips mTrips;
   WarmTable mWarm;
+  RegionShare mRegionShare;
   RunTimeTable mRunTimes;
   std::map<std::string, SplitTally> mSplits;   ///< By route.
   std::map<std::string, RetryBudget> mRetries; ///< By service.
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -121,13 +121,10 @@
   }
 }
 
-void TakeEvacuation(Entry& aEntry, const ObjectChange& aChange)
+void TakeDomain(Entry& aEntry, const ObjectChange& aChange, TimePoint aNow)
 {
-  auto& evacuated = aEntry.mRegistry.mEvacuated;
-  const bool changed = aChange.mRemoved
-                         ? evacuated.erase(aChange.mName) > 0
-                         : evacuated.insert(aChange.mName).second;
-  if (changed) {
+  if (TakeEvacuation(aEntry.mRegistry, aChange.mName, !aChange.mRemoved,
+                     aNow)) {
     Log(LogLevel::Info, "evacuation_changed",
         { { "failure_domain", aChange.mName },
           { "emptied", aChange.mRemoved ? "no" : "yes" },
@@ -160,7 +157,7 @@
     case ObjectKind::Targets:
       return TakeTarget(aEntry, aChange, aNow);
     case ObjectKind::Evacuations:
-      return TakeEvacuation(aEntry, aChange);
+      return TakeDomain(aEntry, aChange, aNow);
     case ObjectKind::Entries:
       return TakeEntry(aEntry, aChange, aNow);
   }
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -29,6 +29,9 @@
 /// Most sends of one attempt, counting those that the target refused.
 constexpr std::uint32_t kMostSends = 3;
 constexpr Millis kRetryAfterUnready{ 500 };
+/// Age of the views above which any target may have become cold unseen;
+/// longer than evacuations are watched apart.
+constexpr Millis kUnseenAge{ 4'500 };
 constexpr double kMsPerSecond = 1'000;
 /// Part of the stop time in which new requests are still taken.
 constexpr int kStopPart = 2;
@@ -268,9 +271,8 @@
   const auto endpoint = *ParseEndpoint(target->mRegistration.mAddress);
   const FlightCount count(target);
   const auto started = Clock::now();
-  if (started < target->mColdUntil) {
-    target->mLoad.mColdSend = started;
-  }
+  target->mLoad.mLastSend = started;
+  NoteRegion(aEntry.mRegionShare, aPassage.mChoice.mFar, started);
   ++aPassage.mSends;
   auto request = ForTarget(aEntry, aPassage, *target, started);
   auto options = OptionsFor(aEntry, aPassage);
@@ -315,11 +317,39 @@
   return it->second;
 }
 
+/// True where the view of targets and evacuations is too old to rely on.
+bool IsUnseen(const Entry& aEntry, TimePoint aNow)
+{
+  for (const auto kind : { ObjectKind::Targets, ObjectKind::Evacuations }) {
+    const auto it = aEntry.mFollows.find(kind);
+    if (it == aEntry.mFollows.end() ||
+        aNow - it->second.mView.mConfirmed > kUnseenAge) {
+      return true;
+    }
+  }
+  return false;
+}
+
+ColdBound ColdBoundOf(const Entry& aEntry, const std::string& aService)
+{
+  const auto& bounds = aEntry.mSettings.mBounds;
+  const auto it = aEntry.mRouting.mServices.find(aService);
+  const double rate =
+    it == aEntry.mRouting.mServices.end() ? 0 : it->second.mColdRate;
+  return { rate, bounds.mColdOver, bounds.mColdSlack };
+}
+
 void Choose(Entry& aEntry, Passage& aPassage, TimePoint aNow)
 {
-  const PlacementView view{ aEntry.mRegistry, aEntry.mTrips, aEntry.mWarm,
+  const PlacementView view{ aEntry.mRegistry,
+                            aEntry.mTrips,
+                            aEntry.mWarm,
                             aEntry.mRunTimes[aPassage.mRoute.mName],
-                            SharingEntries(aEntry.mRoster) };
+                            ColdBoundOf(aEntry, aPassage.mService),
+                            SharingEntries(aEntry.mRoster),
+                            LiveInRegion(aEntry.mRoster, aNow).size(),
+                            IsUnseen(aEntry, aNow),
+                            LeewayOf(aEntry.mRegionShare, aNow) };
   const PlacementRequest request{ aPassage.mRoute, aPassage.mService,
                                   aPassage.mKey, aPassage.mDeadline,
                                   aPassage.mTried };
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -83,6 +83,24 @@
     [](const std::string&) { return true; });
 }
 
+/// Sets where requests are expected to run while none has been sent.
+void ExpectRegions(Entry& aEntry)
+{
+  double own = 0;
+  double all = 0;
+  for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
+    const double slots = target->mRegistration.mSlots;
+    all += slots;
+    own += target->mRegion == aEntry.mSettings.mRegion ? slots : 0;
+  }
+  double ownEntries = 1;
+  for (const auto& [name, entry] : aEntry.mRoster.mOthers) {
+    ownEntries += entry.mRecord.mRegion == aEntry.mSettings.mRegion ? 1 : 0;
+  }
+  aEntry.mRegionShare.mFirstFar = FirstFarShare(
+    own, all, ownEntries, static_cast<double>(SharingEntries(aEntry.mRoster)));
+}
+
 asio::awaitable<void> Upkeep(Entry& aEntry)
 {
   while (true) {
@@ -90,6 +108,7 @@
     const auto now = Clock::now();
     ForgetLapsed(aEntry.mRegistry, now);
     ForgetOldCrashes(aEntry.mCrashers, now);
+    ExpectRegions(aEntry);
     aEntry.mTargetClient.DropExpired(now);
     FlushLog();
   }
@@ -154,6 +173,7 @@
   , mPeers(aContext.get_executor(), "", mSettings.mAddress)
 {
   mRegistry.mDomains = mSettings.mDomains;
+  mRegionShare.mMostShift = mSettings.mBounds.mMostShift;
   mTrips.mOwnDomain = mSettings.mFailureDomain;
   mTrips.mOwnRegion = mSettings.mRegion;
   auto& self = mRoster.mSelf;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -19,8 +19,14 @@
 /// Penalty for a target all of whose exchanges fail.
 constexpr double kFailingMs = 1'500;
 constexpr Millis kLeastClear{ 100 };
-/// A cold target's rate is used up to this part.
+/// A cold target's rate, and the bound on it, are used up to this part.
 constexpr double kColdPart = 0.8;
+constexpr double kUnseenPart = 0.85;
+constexpr double kLeastColdRate = 0.1;
+/// Targets of a failure domain that serves again may be cold before their
+/// registrations say so.
+constexpr Millis kReturnTime{ 3'000 };
+constexpr double kMsPerSecond = 1'000;
 
 struct Candidate
 {
@@ -54,9 +60,22 @@
            aRoute.mRegions.end();
 }
 
-double ColdRateOf(double aColdRate)
+/// @returns true where an entry's part of a rate allows one more request
+bool GapPassed(const LiveTarget& aTarget, double aRate, std::size_t aSharing,
+               TimePoint aNow) noexcept
 {
-  return std::max(aColdRate, 0.1) * kColdPart;
+  const double gapMs = kMsPerSecond * static_cast<double>(aSharing) /
+                       std::max(aRate, kLeastColdRate);
+  return aNow - aTarget.mLoad.mLastSend >=
+         Millis(static_cast<std::int64_t>(gapMs));
+}
+
+bool ReturnedLately(const TargetRegistry& aRegistry, const LiveTarget& aTarget,
+                    TimePoint aNow)
+{
+  const auto it =
+    aRegistry.mReturned.find(aTarget.mRegistration.mFailureDomain);
+  return it != aRegistry.mReturned.end() && aNow - it->second < kReturnTime;
 }
 
 /// The expected course of a request at one target.
@@ -111,82 +130,151 @@
                   Millis(static_cast<std::int64_t>(over * perRequest)));
 }
 
-} // namespace
-
-bool MaySendCold(const LiveTarget& aTarget, double aColdRate,
-                 std::size_t aEntries, TimePoint aNow) noexcept
+/// The targets that are looked at for one request.
+struct Field
 {
-  const double gapMs =
-    1'000.0 * static_cast<double>(aEntries) / ColdRateOf(aColdRate);
-  return aNow - aTarget.mLoad.mColdSend >=
-         Millis(static_cast<std::int64_t>(gapMs));
-}
+  Owners<kNearOwners> mNear;
+  Owners<kFarOwners> mFar;
+  Owners<1> mCold; ///< Used where there is no other.
+  bool mAny = false;
+};
 
-PlacementChoice ChooseOwner(const PlacementView& aView,
-                            const PlacementRequest& aRequest, TimePoint aNow)
+Field FindOwners(const PlacementView& aView, const PlacementRequest& aRequest,
+                 const std::vector<TargetPtr>& aTargets, TimePoint aNow)
 {
-  Owners<kNearOwners> near;
-  Owners<kFarOwners> far;
-  std::vector<LiveTarget*> warm;
-  bool any = false;
-  const auto list = aView.mRegistry.mByService.find(aRequest.mService);
-  if (list == aView.mRegistry.mByService.end()) {
-    PlacementChoice out;
-    out.mRefusal = PlacementRefusal::NoTarget;
-    return out;
-  }
-  for (const auto& it : list->second) {
+  Field out;
+  for (const auto& it : aTargets) {
     if (!MayServe(aView.mRegistry, *it, aNow) ||
         !IsAllowed(aRequest.mRoute, it->mRegion) ||
         aRequest.mExcluded.count(it->mRegistration.mId) > 0 ||
         aNow < it->mLoad.mEjectedUntil) {
       continue;
     }
-    any = true;
+    out.mAny = true;
+    const Candidate candidate{ it.get(), HashPair(aRequest.mKey, it->mHash) };
     if (aNow < it->mColdUntil) {
+      if (MaySendCold(*it, aView.mCold, aView.mEntries, aNow)) {
+        out.mCold.Offer(candidate);
+      }
+      continue;
+    }
+    if ((aView.mUnseen || ReturnedLately(aView.mRegistry, *it, aNow)) &&
+        !MaySendUnseen(*it, aView.mCold, aView.mRegionEntries, aNow)) {
       continue;
     }
-    const Candidate candidate{ it.get(), HashPair(aRequest.mKey, it->mHash) };
     if (it->mRegion == aView.mTrips.mOwnRegion) {
-      near.Offer(candidate);
+      out.mNear.Offer(candidate);
     } else {
-      far.Offer(candidate);
+      out.mFar.Offer(candidate);
     }
   }
-  std::optional<Forecast> best;
-  std::optional<Forecast> shortest; // The one that has room first.
-  const auto consider = [&](const Candidate& a, bool aFirst) {
-    if (a.mTarget == nullptr) {
-      return;
+  return out;
+}
+
+/// The best of several forecasts.
+struct Best
+{
+  std::optional<Forecast> mBest;     ///< With room, least cost.
+  std::optional<Forecast> mShortest; ///< Without: the one with room first.
+
+  void Consider(const Forecast& aForecast)
+  {
+    if (!mShortest || aForecast.mAhead < mShortest->mAhead) {
+      mShortest = aForecast;
     }
-    auto forecast = ForecastAt(aView, aRequest, *a.mTarget, aFirst, aNow);
-    if (!shortest || forecast.mAhead < shortest->mAhead) {
-      shortest = forecast;
+    if (aForecast.mAhead <= aForecast.mMostAhead &&
+        (!mBest || aForecast.mCostMs < mBest->mCostMs)) {
+      mBest = aForecast;
     }
-    if (forecast.mAhead <= forecast.mMostAhead &&
-        (!best || forecast.mCostMs < best->mCostMs)) {
-      best = forecast;
+  }
+};
+
+template<std::size_t N>
+Best BestOf(const PlacementView& aView, const PlacementRequest& aRequest,
+            const Owners<N>& aOwners, bool aFar, TimePoint aNow)
+{
+  Best out;
+  for (std::size_t n = 0; n < N; ++n) {
+    if (aOwners.mBest[n].mTarget != nullptr) {
+      auto forecast =
+        ForecastAt(aView, aRequest, *aOwners.mBest[n].mTarget, n == 0, aNow);
+      forecast.mChoice.mFar = aFar;
+      out.Consider(forecast);
     }
-  };
-  for (std::size_t n = 0; n < kNearOwners; ++n) {
-    consider(near.mBest[n], n == 0);
   }
-  for (std::size_t n = 0; n < kFarOwners; ++n) {
-    consider(far.mBest[n], n == 0);
+  return out;
+}
+
+/// Takes the cheaper of two, unless the leeway between regions forbids it
+/// and the other has room.
+std::optional<Forecast> Weigh(const Best& aNear, const Best& aFar,
+                              const RegionLeeway& aLeeway)
+{
+  if (!aNear.mBest || !aFar.mBest) {
+    return aNear.mBest ? aNear.mBest : aFar.mBest;
+  }
+  if (!aLeeway.mMayLeave) {
+    return aNear.mBest;
   }
+  if (!aLeeway.mMayStay) {
+    return aFar.mBest;
+  }
+  return aFar.mBest->mCostMs < aNear.mBest->mCostMs ? aFar.mBest : aNear.mBest;
+}
+
+PlacementChoice Refuse(const Field& aField, const Best& aNear, const Best& aFar)
+{
   PlacementChoice out;
-  if (!best && !shortest) {
-    out.mRefusal = any ? PlacementRefusal::Full : PlacementRefusal::NoTarget;
+  const auto& shortest =
+    aNear.mShortest &&
+        (!aFar.mShortest || aNear.mShortest->mAhead <= aFar.mShortest->mAhead)
+      ? aNear.mShortest
+      : aFar.mShortest;
+  if (shortest) {
+    out = shortest->mChoice;
+    out.mClearsIn = TimeToClear(*shortest);
+  } else {
     out.mClearsIn = kLeastClear;
-    return out;
+  }
+  out.mRefusal =
+    aField.mAny ? PlacementRefusal::Full : PlacementRefusal::NoTarget;
+  return out;
+}
+
+} // namespace
+
+bool MaySendCold(const LiveTarget& aTarget, const ColdBound& aBound,
+                 std::size_t aEntries, TimePoint aNow) noexcept
+{
+  return GapPassed(aTarget, aBound.mRate * kColdPart, aEntries, aNow);
+}
+
+bool MaySendUnseen(const LiveTarget& aTarget, const ColdBound& aBound,
+                   std::size_t aRegionEntries, TimePoint aNow) noexcept
+{
+  const double most = aBound.mRate * aBound.mOver + aBound.mSlack;
+  // One more sharer stands for the entries of all other regions.
+  return GapPassed(aTarget, most * kUnseenPart, aRegionEntries + 1, aNow);
+}
+
+PlacementChoice ChooseOwner(const PlacementView& aView,
+                            const PlacementRequest& aRequest, TimePoint aNow)
+{
+  const auto list = aView.mRegistry.mByService.find(aRequest.mService);
+  if (list == aView.mRegistry.mByService.end()) {
+    return Refuse({}, {}, {});
+  }
+  const auto field = FindOwners(aView, aRequest, list->second, aNow);
+  const auto near = BestOf(aView, aRequest, field.mNear, false, aNow);
+  const auto far = BestOf(aView, aRequest, field.mFar, true, aNow);
+  auto best = Weigh(near, far, aView.mLeeway);
+  if (!near.mShortest && !far.mShortest) {
+    best = BestOf(aView, aRequest, field.mCold, false, aNow).mBest;
   }
   if (!best) {
-    out = shortest->mChoice;
-    out.mRefusal = PlacementRefusal::Full;
-    out.mClearsIn = TimeToClear(*shortest);
-    return out;
+    return Refuse(field, near, far);
   }
-  out = best->mChoice;
+  auto out = best->mChoice;
   if (aNow + out.mRoundTrip + out.mWait + out.mRun > aRequest.mDeadline) {
     out.mRefusal = PlacementRefusal::TooLate;
     out.mClearsIn = kLeastClear;
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -108,6 +108,16 @@
   aRegistry.mTroubleUntil = aNow + kLapseGrace;
 }
 
+bool TakeEvacuation(TargetRegistry& aRegistry, const std::string& aDomain,
+                    bool aEmptied, TimePoint aNow)
+{
+  if (aEmptied) {
+    return aRegistry.mEvacuated.insert(aDomain).second;
+  }
+  aRegistry.mReturned[aDomain] = aNow;
+  return aRegistry.mEvacuated.erase(aDomain) > 0;
+}
+
 void ForgetLapsed(TargetRegistry& aRegistry, TimePoint aNow)
 {
   std::vector<std::string> ended;
