--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -66,6 +66,7 @@
   Millis mWait{ 0 };     ///< Expected in the target's queue.
   Millis mRun{ 0 };      ///< Expected without waiting.
   bool mFar = false;     ///< In another region than the entry.
+  bool mWishFar = false; ///< Would be, if no leeway bound it.
   Millis mClearsIn{ 0 }; ///< When refused: when there should be room.
 };
 
--- a/include/guavaline/placement/region_share.hpp
+++ b/include/guavaline/placement/region_share.hpp
@@ -2,29 +2,20 @@
 
 /// Bounds how fast an entry moves its requests between regions, so that the
 /// links and caches of a region never meet a sudden shift. The share that
-/// leaves the entry's own region may differ only a little between one window
-/// and the next.
+/// leaves the entry's own region follows the wish of placement slowly, and a
+/// token bucket holds the requests to it.
 
 #include <guavaline/core/time.hpp>
 
-#include <cstdint>
-#include <deque>
-
 namespace guavaline {
 
-/// Requests sent in one slice of time.
-struct RegionSlice
-{
-  TimePoint mStart{};
-  std::uint32_t mNear = 0; ///< Run in the entry's own region.
-  std::uint32_t mFar = 0;  ///< Run in another one.
-};
-
 struct RegionShare
 {
-  double mFirstFar = 0;     ///< Far share before anything was sent.
   double mMostShift = 0.15; ///< Bound on the change between two windows.
-  std::deque<RegionSlice> mSlices;
+  double mFar = 0;          ///< Share that may run in other regions.
+  double mWish = 0;         ///< Share that would if nothing bound it.
+  double mTokens = 0;       ///< Requests that the share is ahead of its use.
+  TimePoint mUpdated{};     ///< When the last request was sent.
 };
 
 /// Which way a request may go.
@@ -34,12 +25,17 @@
   bool mMayLeave = true;
 };
 
+/// Sets the share that is expected before anything was sent.
+void ExpectFarShare(RegionShare& aShare, double aFar) noexcept;
+
 /// Notes a request that is sent.
-void NoteRegion(RegionShare& aShare, bool aFar, TimePoint aNow);
+/// @param aWishFar  it would go to another region if nothing bound it
+/// @param aFar      it goes to another region
+void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar,
+                TimePoint aNow) noexcept;
 
 /// @returns where the next request may go
-[[nodiscard]] RegionLeeway LeewayOf(const RegionShare& aShare,
-                                    TimePoint aNow) noexcept;
+[[nodiscard]] RegionLeeway LeewayOf(const RegionShare& aShare) noexcept;
 
 /// @returns the far share that evens out the slots of a region and the
 ///          callers that its entries stand for
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -14,6 +14,7 @@
 #include <guavaline/crashers/crashers.hpp>
 #include <guavaline/metrics/metrics.hpp>
 #include <guavaline/placement/placement.hpp>
+#include <guavaline/views/follow.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,13 +22,11 @@
 
 namespace guavaline::detail {
 
-/// How calls to the store about one kind of object go.
+/// One kind of the store's objects.
 struct FollowState
 {
   ObjectView mView;
-  bool mConnected = true;                 ///< The last call worked.
-  std::optional<TimePoint> mFailingSince; ///< Set while calls fail.
-  TimePoint mCalled{};                    ///< When the last call ended.
+  StoreAccess mAccess;
 };
 
 struct Entry
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -11,48 +11,29 @@
 
 namespace {
 
-/// How views of one kind are kept current.
-struct FollowTimes
-{
-  /// How long the store may hold a watch. An answer may be lost on the way
-  /// without any sign, so that a watch must end well before the bound on how
-  /// old a view may be.
-  Millis mWait;
-  /// A view that was not confirmed for this long is followed at the store,
-  /// whoever else watches.
-  Millis mStaleAfter;
-};
+/// Pause between watches, in which changes gather; each call has its price.
+constexpr Millis kGatherTime{ 300 };
+/// How often an entry that hears from others looks at its view's age.
+constexpr Millis kAgeCheck{ 100 };
+/// Entries' records are joined by heartbeats and may be this old.
+constexpr Millis kEntriesBound{ 14'000 };
 
-/// The least bound on routes and on targets that leave is 2.5 s, that on
-/// evacuations 5 s. Entries' records are joined by heartbeats.
-FollowTimes TimesFor(ObjectKind aKind)
+FollowTimes TimesFor(const Entry& aEntry, ObjectKind aKind)
 {
+  const auto& bounds = aEntry.mSettings.mBounds;
   switch (aKind) {
     case ObjectKind::Routing:
+      return FollowTimesFor(bounds.mRoutingAge);
     case ObjectKind::Targets:
-      break;
+      return FollowTimesFor(bounds.mTargetAge);
     case ObjectKind::Evacuations:
-      return { Millis(3'000), Millis(3'800) };
+      return FollowTimesFor(bounds.mEvacuationAge);
     case ObjectKind::Entries:
-      return { Millis(8'000), Millis(12'000) };
+      break;
   }
-  return { Millis(1'500), Millis(2'100) };
+  return FollowTimesFor(kEntriesBound);
 }
 
-/// An entry that the store turns away asks it this often while others keep
-/// its view current.
-constexpr Millis kProbeWhileHearing{ 3'000 };
-/// While calls fail they are short, so that the store's return shows soon.
-constexpr Millis kWatchWhileLost{ 200 };
-/// Registrations can lapse at the store only in outages longer than this.
-constexpr Millis kShortOutage{ 1'000 };
-/// Pause between watches, in which changes gather; each call has its price.
-constexpr Millis kGatherTime{ 300 };
-/// How often an entry that hears from others looks at its view's age.
-constexpr Millis kAgeCheck{ 100 };
-constexpr Millis kFirstBackoff{ 200 };
-constexpr Millis kMostBackoff{ 1'000 };
-
 void TakeRouting(Entry& aEntry, const ObjectChange& aChange)
 {
   if (aChange.mRemoved) {
@@ -163,31 +144,23 @@
   }
 }
 
-void NoteCall(Entry& aEntry, ObjectKind aKind, const char* aCall,
-              const ObjectReply& aReply, TimePoint aNow)
+void NoteReply(Entry& aEntry, ObjectKind aKind, const char* aCall,
+               const ObjectReply& aReply, TimePoint aNow)
 {
   auto& state = aEntry.mFollows[aKind];
-  state.mCalled = aNow;
   aEntry.mMetrics.Count("store_calls", std::string("kind=\"") +
                                          KindName(aKind) + "\",call=\"" +
                                          aCall + "\"");
   const bool worked = aReply.mStatus == StoreStatus::Ok || aReply.mHistoryGone;
-  if (!worked && !state.mFailingSince) {
-    state.mFailingSince = aNow;
-  }
-  if (state.mFailingSince && aNow - *state.mFailingSince >= kShortOutage) {
+  if (InOutage(state.mAccess, aNow)) {
     NoteRegistryTrouble(aEntry.mRegistry, aNow);
   }
-  if (worked) {
-    state.mFailingSince.reset();
-  }
-  if (worked != state.mConnected) {
-    state.mConnected = worked;
+  if (NoteCall(state.mAccess, worked, aNow)) {
     Log(worked ? LogLevel::Info : LogLevel::Warning,
         worked ? "store_regained" : "store_lost",
         { { "kind", KindName(aKind) },
           { "revision", std::to_string(state.mView.mRevision) },
-          { "error", aReply.mError.Describe() } });
+          { "error", worked ? "" : aReply.mError.Describe() } });
   }
 }
 
@@ -200,7 +173,7 @@
   std::uint64_t revision = 0;
   while (true) {
     auto reply = co_await aEntry.mPlatform.mList(aKind, after);
-    NoteCall(aEntry, aKind, "list", reply, Clock::now());
+    NoteReply(aEntry, aKind, "list", reply, Clock::now());
     if (reply.mStatus != StoreStatus::Ok) {
       co_return false;
     }
@@ -240,7 +213,7 @@
   auto& view = aEntry.mFollows[aKind].mView;
   auto reply = co_await aEntry.mPlatform.mWatch(aKind, view.mRevision, aWait);
   const auto now = Clock::now();
-  NoteCall(aEntry, aKind, "watch", reply, now);
+  NoteReply(aEntry, aKind, "watch", reply, now);
   if (reply.mStatus == StoreStatus::Ok) {
     const auto from = view.mRevision;
     const auto changes = TakeChanges(view, reply.mChanges, reply.mRevision);
@@ -251,18 +224,14 @@
   co_return !reply.mHistoryGone;
 }
 
-/// True where another entry's word on the view will do for now.
-bool HearsEnough(Entry& aEntry, ObjectKind aKind, TimePoint aNow)
+bool MayListen(Entry& aEntry, ObjectKind aKind, TimePoint aNow)
 {
   const auto& state = aEntry.mFollows[aKind];
-  const auto& view = state.mView;
-  if (!view.mListed || aNow - view.mConfirmed >= TimesFor(aKind).mStaleAfter) {
-    return false;
-  }
-  if (!state.mConnected) {
-    return aNow - state.mCalled < kProbeWhileHearing;
-  }
-  return !IsWatcher(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, aNow));
+  const bool watches =
+    IsWatcher(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, aNow));
+  return state.mView.mListed &&
+         HearsEnough(state.mAccess, TimesFor(aEntry, aKind),
+                     state.mView.mConfirmed, watches, aNow);
 }
 
 } // namespace
@@ -292,27 +261,23 @@
 
 asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind)
 {
-  auto& state = aEntry.mFollows[aKind];
-  const auto wait = TimesFor(aKind).mWait;
-  auto backoff = kFirstBackoff;
+  auto& access = aEntry.mFollows[aKind].mAccess;
+  const auto times = TimesFor(aEntry, aKind);
   bool listed = false;
   while (true) {
-    if (HearsEnough(aEntry, aKind, Clock::now())) {
+    if (MayListen(aEntry, aKind, Clock::now())) {
       co_await Pause(aEntry, kAgeCheck);
       continue;
     }
     if (!listed) {
       listed = co_await ListAll(aEntry, aKind);
     } else {
-      listed = co_await WatchOnce(aEntry, aKind,
-                                  state.mConnected ? wait : kWatchWhileLost);
+      listed = co_await WatchOnce(aEntry, aKind, WatchWait(access, times));
     }
-    if (state.mConnected) {
-      backoff = kFirstBackoff;
+    if (access.mConnected) {
       co_await Pause(aEntry, listed ? kGatherTime : Millis(1));
     } else {
-      co_await Pause(aEntry, backoff);
-      backoff = std::min(backoff * 2, kMostBackoff);
+      co_await Pause(aEntry, access.mBackoff);
     }
   }
 }
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -134,6 +134,7 @@
                { "service", aPassage.mService },
                { "status", std::to_string(aStatus) },
                { "reason", aReason },
+               { "object", HexId(aPassage.mKey) },
                { "target", target },
                { "sends", std::to_string(aPassage.mSends) },
                { "warmth", std::to_string(static_cast<int>(choice.mWarmth)) },
@@ -272,7 +273,8 @@
   const FlightCount count(target);
   const auto started = Clock::now();
   target->mLoad.mLastSend = started;
-  NoteRegion(aEntry.mRegionShare, aPassage.mChoice.mFar, started);
+  NoteRegion(aEntry.mRegionShare, aPassage.mChoice.mWishFar,
+             aPassage.mChoice.mFar, started);
   ++aPassage.mSends;
   auto request = ForTarget(aEntry, aPassage, *target, started);
   auto options = OptionsFor(aEntry, aPassage);
@@ -349,7 +351,7 @@
                             SharingEntries(aEntry.mRoster),
                             LiveInRegion(aEntry.mRoster, aNow).size(),
                             IsUnseen(aEntry, aNow),
-                            LeewayOf(aEntry.mRegionShare, aNow) };
+                            LeewayOf(aEntry.mRegionShare) };
   const PlacementRequest request{ aPassage.mRoute, aPassage.mService,
                                   aPassage.mKey, aPassage.mDeadline,
                                   aPassage.mTried };
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -97,8 +97,10 @@
   for (const auto& [name, entry] : aEntry.mRoster.mOthers) {
     ownEntries += entry.mRecord.mRegion == aEntry.mSettings.mRegion ? 1 : 0;
   }
-  aEntry.mRegionShare.mFirstFar = FirstFarShare(
-    own, all, ownEntries, static_cast<double>(SharingEntries(aEntry.mRoster)));
+  ExpectFarShare(
+    aEntry.mRegionShare,
+    FirstFarShare(own, all, ownEntries,
+                  static_cast<double>(SharingEntries(aEntry.mRoster))));
 }
 
 asio::awaitable<void> Upkeep(Entry& aEntry)
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -16,6 +16,9 @@
 {
   Millis mStopTime{ 6'000 }; ///< From SIGTERM until the process is killed.
   Millis mLookupTtlMost{ 5'000 };
+  Millis mRoutingAge{ 2'500 };    ///< From a change until it is in force.
+  Millis mTargetAge{ 2'500 };     ///< From a target's leaving to no new work.
+  Millis mEvacuationAge{ 5'000 }; ///< The same for a failure domain.
   double mRetryRatio = 0.2; ///< Retries to requests, all entries together.
   double mRetrySlack = 64;  ///< Retries on top of it, all entries together.
   Millis mRetryWindow{ 10'000 };
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -211,15 +211,20 @@
                               const RegionLeeway& aLeeway)
 {
   if (!aNear.mBest || !aFar.mBest) {
-    return aNear.mBest ? aNear.mBest : aFar.mBest;
-  }
-  if (!aLeeway.mMayLeave) {
-    return aNear.mBest;
+    auto out = aNear.mBest ? aNear.mBest : aFar.mBest;
+    if (out) {
+      out->mChoice.mWishFar = out->mChoice.mFar;
+    }
+    return out;
   }
-  if (!aLeeway.mMayStay) {
-    return aFar.mBest;
+  const bool wishFar = aFar.mBest->mCostMs < aNear.mBest->mCostMs;
+  bool goFar = wishFar;
+  if (!aLeeway.mMayLeave || !aLeeway.mMayStay) {
+    goFar = aLeeway.mMayLeave;
   }
-  return aFar.mBest->mCostMs < aNear.mBest->mCostMs ? aFar.mBest : aNear.mBest;
+  auto out = goFar ? aFar.mBest : aNear.mBest;
+  out->mChoice.mWishFar = wishFar;
+  return out;
 }
 
 PlacementChoice Refuse(const Field& aField, const Best& aNear, const Best& aFar)
--- a/src/placement/region_share.cpp
+++ b/src/placement/region_share.cpp
@@ -6,64 +6,44 @@
 namespace {
 
 /// The platform's rule compares windows of this length.
-constexpr Millis kWindow{ 2'000 };
-constexpr Millis kSlice{ 250 };
-/// Part of the allowed change that is used: callers' requests are not spread
-/// evenly over the entries.
-constexpr double kUsedPart = 0.9;
-/// Requests in a window below which a share says nothing.
-constexpr std::uint32_t kFew = 10;
+constexpr double kWindowSeconds = 2;
+/// Part of the allowed change that the share itself may make; the rest is for
+/// the bucket's depth.
+constexpr double kSlewPart = 0.6;
+constexpr double kWishWeight = 0.1;
+/// Requests by which the use of the share may be ahead or behind.
+constexpr double kDepth = 4;
+/// Longest gap between requests for which the share moves on.
+constexpr double kMostGapSeconds = 0.5;
 constexpr double kMostFirstFar = 0.8;
 
-struct WindowCount
-{
-  std::uint32_t mFar = 0;
-  std::uint32_t mAll = 0;
-};
+} // namespace
 
-WindowCount CountWindow(const RegionShare& aShare, TimePoint aFrom,
-                        TimePoint aTo) noexcept
+void ExpectFarShare(RegionShare& aShare, double aFar) noexcept
 {
-  WindowCount out;
-  for (const auto& it : aShare.mSlices) {
-    if (it.mStart >= aFrom && it.mStart < aTo) {
-      out.mFar += it.mFar;
-      out.mAll += it.mNear + it.mFar;
-    }
+  if (aShare.mUpdated == TimePoint{}) {
+    aShare.mFar = aFar;
+    aShare.mWish = aFar;
   }
-  return out;
 }
 
-} // namespace
-
-void NoteRegion(RegionShare& aShare, bool aFar, TimePoint aNow)
+void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar,
+                TimePoint aNow) noexcept
 {
-  auto& slices = aShare.mSlices;
-  while (!slices.empty() && aNow - slices.front().mStart > 2 * kWindow) {
-    slices.pop_front();
-  }
-  if (slices.empty() || aNow - slices.back().mStart >= kSlice) {
-    slices.push_back({ aNow, 0, 0 });
-  }
-  ++(aFar ? slices.back().mFar : slices.back().mNear);
+  const std::chrono::duration<double> gap = aNow - aShare.mUpdated;
+  const double seconds = std::min(gap.count(), kMostGapSeconds);
+  aShare.mUpdated = aNow;
+  aShare.mWish += kWishWeight * ((aWishFar ? 1 : 0) - aShare.mWish);
+  const double step = aShare.mMostShift * kSlewPart / kWindowSeconds * seconds;
+  aShare.mFar += std::clamp(aShare.mWish - aShare.mFar, -step, step);
+  aShare.mTokens =
+    std::clamp(aShare.mTokens + aShare.mFar - (aFar ? 1 : 0), -kDepth, kDepth);
 }
 
-RegionLeeway LeewayOf(const RegionShare& aShare, TimePoint aNow) noexcept
+RegionLeeway LeewayOf(const RegionShare& aShare) noexcept
 {
-  RegionLeeway out;
-  const auto present = CountWindow(aShare, aNow - kWindow, aNow + kWindow);
-  const auto before = CountWindow(aShare, aNow - 2 * kWindow, aNow - kWindow);
-  if (present.mAll < kFew) {
-    return out;
-  }
-  const double last = before.mAll < kFew
-                        ? aShare.mFirstFar
-                        : static_cast<double>(before.mFar) / before.mAll;
-  const double step = aShare.mMostShift * kUsedPart;
-  const double all = present.mAll + 1.0;
-  out.mMayLeave = (present.mFar + 1.0) / all <= last + step;
-  out.mMayStay = present.mFar / all >= last - step;
-  return out;
+  const double next = aShare.mTokens + aShare.mFar;
+  return { next <= kDepth, next - 1 >= -kDepth };
 }
 
 double FirstFarShare(double aOwnSlots, double aAllSlots, double aOwnEntries,
--- /dev/null
+++ b/tests/unit/follow_test.cpp
@@ -0,0 +1,69 @@
+#include <guavaline/views/follow.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace guavaline;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{ 1000s };
+
+} // namespace
+
+Test(follow, a_watch_that_is_lost_and_the_next_call_fit_into_the_bound)
+{
+  for (const Millis bound : { 1'500ms, 2'500ms, 3'000ms, 4'000ms, 5'000ms }) {
+    const auto times = FollowTimesFor(bound);
+    cr_assert_lt(times.mWait.count(), times.mStaleAfter.count());
+    // What is left must carry one call to the store.
+    cr_assert_geq((bound - times.mStaleAfter).count(), 200);
+  }
+}
+
+Test(follow, a_cut_connection_is_no_outage)
+{
+  StoreAccess access;
+  cr_assert(NoteCall(access, false, kNow));
+  cr_assert_not(InOutage(access, kNow + 200ms));
+  cr_assert(NoteCall(access, true, kNow + 300ms));
+  cr_assert_not(InOutage(access, kNow + 5s));
+}
+
+Test(follow, a_second_of_failed_calls_is_an_outage)
+{
+  StoreAccess access;
+  NoteCall(access, false, kNow);
+  cr_assert_not(NoteCall(access, false, kNow + 1s));
+  cr_assert(InOutage(access, kNow + 1s));
+}
+
+Test(follow, calls_are_short_while_the_store_is_lost)
+{
+  const auto times = FollowTimesFor(2'500ms);
+  StoreAccess access;
+  cr_assert_eq(WatchWait(access, times), times.mWait);
+  NoteCall(access, false, kNow);
+  cr_assert_leq(WatchWait(access, times).count(), 500);
+  cr_assert_leq(access.mBackoff.count(), 1'000);
+}
+
+Test(follow, an_entry_listens_only_while_the_view_is_confirmed)
+{
+  const auto times = FollowTimesFor(2'500ms);
+  const StoreAccess access;
+  cr_assert(HearsEnough(access, times, kNow, false, kNow + 2s));
+  cr_assert_not(HearsEnough(access, times, kNow, false, kNow + 2200ms));
+  // The one that watches for the region does not wait for others.
+  cr_assert_not(HearsEnough(access, times, kNow, true, kNow));
+}
+
+Test(follow, an_entry_that_is_turned_away_asks_seldom_while_it_hears)
+{
+  const auto times = FollowTimesFor(2'500ms);
+  StoreAccess access;
+  NoteCall(access, false, kNow);
+  const auto later = kNow + 1s;
+  cr_assert(HearsEnough(access, times, later, true, later));
+  cr_assert_not(HearsEnough(access, times, kNow + 4s, true, kNow + 4s));
+}
--- /dev/null
+++ b/tests/unit/platform_test.cpp
@@ -0,0 +1,191 @@
+#include "objects.hpp"
+#include "settings.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace guavaline;
+using namespace guavaline::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kSettings =
+  "node=edge-lowell-a-1\n"
+  "ip=10.1.0.10\n"
+  "zone=lowell-a\n"
+  "region=lowell\n"
+  "zones.lowell-a=lowell\n"
+  "zones.portland-a=portland\n"
+  "listen.front=10.1.0.10:8161\n"
+  "listen.ready=10.1.0.10:8167\n"
+  "listen.directory=10.1.0.10:8164\n"
+  "internal_port_range=7720,7735\n"
+  "limits.max_fds=4100\n"
+  "bounds=drain=2500ms,config=4s,grace=6s,cold_over=1.5,new_bound=true\n"
+  "a.field.to.come=1\n"
+  "platform.address=10.200.1.7:8169\n";
+
+ObjectChange MakeObject(std::string aSpec)
+{
+  return { "i-7f3a91c2", 12, false, std::move(aSpec) };
+}
+
+std::string With(std::string aText, const std::string& aOld,
+                 const std::string& aNew)
+{
+  return aText.replace(aText.find(aOld), aOld.size(), aNew);
+}
+
+constexpr const char* kTarget =
+  R"({"address":"10.128.0.9:8080","born":1700000000123,)"
+  R"("info":{"service":"huvo11a","version":"v1","zone":"lowell-a","slots":6},)"
+  R"("status":{"state":"ready","sequence":4,"cold_remaining":"1500ms"}})";
+
+constexpr const char* kConfiguration =
+  R"({"version":"0000001a","resources":[)"
+  R"({"resource_type":"routes","metadata":{"name":"r-1"},"spec":{)"
+  R"("host":"a.example","path_prefix":"/x/","type":"idempotent",)"
+  R"("timeout":"2000ms","target_latency":"500ms","priority":2,)"
+  R"("weighted_services":[{"service":"s1","weight":90},)"
+  R"({"service":"s2","weight":10}],"max_attempts":2,"sticky":true,)"
+  R"("allowed_regions":["lowell"]}},)"
+  R"({"resource_type":"routes","metadata":{"name":"r-2"},"spec":{)"
+  R"("host":"a.example","path_prefix":"/y/","type":"later_kind",)"
+  R"("service":"s2","max_attempts":2}},)"
+  R"({"resource_type":"services","metadata":{"name":"s1"},"spec":{)"
+  R"("max_connections":390,"cold_per_s":6.9}},)"
+  R"({"resource_type":"limits","metadata":{},"spec":{)"
+  R"("max_header_bytes":8192,"idle_timeout":"15s"}}]})";
+
+} // namespace
+
+Test(platform, settings_are_read_and_unknown_fields_ignored)
+{
+  detail::EntrySettings settings;
+  cr_assert(ParseSettings("node.conf", kSettings, 9464, settings).empty());
+  cr_assert_eq(settings.mName, "edge-lowell-a-1");
+  cr_assert_eq(settings.mFailureDomain, "lowell-a");
+  cr_assert_eq(settings.mDomains.at("portland-a"), "portland");
+  cr_assert_eq(settings.mCallers.mPort, 8161);
+  cr_assert_eq(settings.mPeers.mPort, 7720);
+  cr_assert_eq(settings.mMetrics.mPort, 9464);
+  cr_assert_eq(settings.mBounds.mRoutingAge, 4s);
+  cr_assert_eq(settings.mBounds.mTargetAge, 2500ms);
+  cr_assert_eq(settings.mLimits.mMostDescriptors, 4'100U);
+}
+
+Test(platform, a_problem_names_file_line_and_field)
+{
+  detail::EntrySettings settings;
+  const auto text =
+    With(kSettings, "listen.ready=10.1.0.10:8167", "listen.ready=somewhere");
+  const auto problems = ParseSettings("node.conf", text, 0, settings);
+  cr_assert_eq(problems.size(), 1U);
+  cr_assert_eq(problems[0].mFile, "node.conf");
+  cr_assert_eq(problems[0].mLine, 8);
+  cr_assert_eq(problems[0].mField, "listen.ready");
+  cr_assert_eq(problems[0].mFound, "somewhere");
+}
+
+Test(platform, missing_and_mistyped_settings_are_all_told)
+{
+  detail::EntrySettings settings;
+  const auto problems = ParseSettings(
+    "node.conf", "node=a\nbounds=drain=soon\nlimits.max_fds=many\n", 0,
+    settings);
+  const auto names = [&](const std::string& a) {
+    return std::any_of(problems.begin(), problems.end(),
+                       [&](const Problem& b) { return b.mField == a; });
+  };
+  cr_assert(names("zone") && names("listen.front") &&
+            names("platform.address"));
+  cr_assert(names("bounds.drain") && names("limits.max_fds"));
+}
+
+Test(platform, a_target_is_read)
+{
+  const auto target = ReadTarget(MakeObject(kTarget));
+  cr_assert(target.has_value());
+  cr_assert_eq(target->mId, "i-7f3a91c2");
+  cr_assert_eq(target->mService, "huvo11a");
+  cr_assert_eq(target->mFailureDomain, "lowell-a");
+  cr_assert_eq(target->mSlots, 6U);
+  cr_assert_eq(target->mStarted, 1700000000123);
+  cr_assert_eq(target->mColdLeft, 1500ms);
+  cr_assert_not(target->mDraining);
+}
+
+Test(platform, an_object_of_another_writer_names_no_target)
+{
+  const std::string text(kTarget);
+  for (const auto& it :
+       { std::string("not json"), std::string("[]"), std::string("{}"),
+         With(text, "\"ready\"", "\"resting\""), With(text, "6}", "\"6\"}"),
+         With(text, "6}", "-1}"), With(text, "10.128.0.9:8080", "nowhere"),
+         With(text, "\"zone\":\"lowell-a\"", "\"zone\":7") }) {
+    cr_assert_not(ReadTarget(MakeObject(it)).has_value(), "%s", it.c_str());
+  }
+}
+
+Test(platform, a_configuration_is_read)
+{
+  const auto table = ReadRouting(MakeObject(kConfiguration));
+  cr_assert(table.has_value());
+  cr_assert_eq(table->mVersion, 0x1aU);
+  const auto& route = table->mRoutes.at(0);
+  cr_assert_eq(route.mKind, RequestKind::Idempotent);
+  cr_assert_eq(route.mTimeout, 2s);
+  cr_assert_eq(route.mServices.size(), 2U);
+  cr_assert_eq(route.mMostTargets, 2U);
+  cr_assert(route.mAffinity);
+  cr_assert_eq(route.mRegions.at(0), "lowell");
+  // A kind that is not known must not be repeated.
+  cr_assert_eq(table->mRoutes.at(1).mKind, RequestKind::NonIdempotent);
+  cr_assert_eq(table->mServices.at("s1").mColdRate, 6.9);
+  cr_assert_eq(table->mLimits.mMostHeaderBytes, 8'192U);
+  cr_assert_eq(table->mLimits.mIdleTimeout, 15s);
+}
+
+Test(platform, a_configuration_that_cannot_be_read_whole_is_not_taken)
+{
+  const std::string text(kConfiguration);
+  cr_assert_not(ReadRouting(MakeObject("{}")).has_value());
+  cr_assert_not(
+    ReadRouting(MakeObject(With(text, "0000001a", "xyz"))).has_value());
+  cr_assert_not(
+    ReadRouting(MakeObject(With(text, "\"/x/\"", "7"))).has_value());
+}
+
+Test(platform, load_object_and_look_up_are_read)
+{
+  const auto load = ReadLoad("3,1,8");
+  cr_assert(load.has_value());
+  cr_assert_eq(load->mWaiting, 1U);
+  cr_assert_not(ReadLoad("3,1").has_value());
+  cr_assert_not(ReadLoad("").has_value());
+  detail::HttpRequest request;
+  request.mHeaders = { { "Cookie", "a=b; X-Affinity-Key=17; c=d" } };
+  cr_assert_eq(ObjectOf(request), "17");
+  request.mTarget = "/resolve?name=a.example&region=lowell&zone=lowell-a";
+  cr_assert_eq(ReadLookup(request)->mRegion, "lowell");
+  request.mTarget = "/other";
+  cr_assert_not(ReadLookup(request).has_value());
+}
+
+Test(platform, an_entry_record_survives_being_written)
+{
+  EntryRecord record;
+  record.mName = "e1";
+  record.mIncarnation = 99;
+  record.mCallerAddress = "10.0.0.1:80";
+  record.mPeerAddress = "10.0.0.1:81";
+  record.mPeerKey = "key";
+  record.mFailureDomain = "d1";
+  record.mRegion = "r1";
+  record.mRevision = 5;
+  const ObjectChange object{ "e1", 5, false,
+                             json::serialize(WriteEntry(record)) };
+  cr_assert(ReadEntry(object) == record);
+}
--- /dev/null
+++ b/tests/unit/region_share_test.cpp
@@ -0,0 +1,67 @@
+#include <guavaline/placement/region_share.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+using namespace guavaline;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{ 1000s };
+
+/// Far shares of successive windows when as many requests as possible want
+/// to leave from the start.
+std::vector<double> ShiftAway(RegionShare& aShare, double aWish)
+{
+  std::vector<double> out;
+  int n = 0;
+  for (int window = 0; window < 10; ++window) {
+    double far = 0;
+    for (int k = 0; k < 200; ++k, ++n) {
+      const auto now = kNow + n * 10ms;
+      const auto leeway = LeewayOf(aShare);
+      const bool wish = std::fmod(n * 0.618, 1.0) < aWish;
+      const bool leave = wish ? leeway.mMayLeave : !leeway.mMayStay;
+      NoteRegion(aShare, wish, leave, now);
+      far += leave ? 1 : 0;
+    }
+    out.push_back(far / 200);
+  }
+  return out;
+}
+
+} // namespace
+
+Test(region_share, a_sudden_wish_to_leave_is_met_in_steps)
+{
+  RegionShare share;
+  const auto shares = ShiftAway(share, 0.9);
+  for (std::size_t n = 1; n < shares.size(); ++n) {
+    cr_assert_leq(std::abs(shares[n] - shares[n - 1]), share.mMostShift,
+                  "window %zu: %f to %f", n, shares[n - 1], shares[n]);
+  }
+  cr_assert_gt(shares.back(), 0.6);
+}
+
+Test(region_share, the_first_requests_go_where_the_slots_are)
+{
+  RegionShare share;
+  ExpectFarShare(share, FirstFarShare(24, 240, 3, 12));
+  cr_assert_float_eq(share.mFar, 0.6, 0.01);
+  const auto shares = ShiftAway(share, 0.0);
+  cr_assert_geq(shares.front(), 0.4);
+  cr_assert_lt(shares.back(), 0.1);
+  // What was sent counts more than an expectation that comes later.
+  ExpectFarShare(share, 0.6);
+  cr_assert_lt(share.mFar, 0.1);
+}
+
+Test(region_share, a_region_with_enough_slots_keeps_its_requests)
+{
+  cr_assert_eq(FirstFarShare(100, 240, 4, 12), 0);
+  cr_assert_eq(FirstFarShare(0, 0, 1, 1), 0);
+}
--- /dev/null
+++ b/tests/unit/roster_test.cpp
@@ -0,0 +1,139 @@
+#include <guavaline/roster/roster.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace guavaline;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{ 1000s };
+
+EntryRecord MakeRecord(int aNumber, const std::string& aRegion)
+{
+  EntryRecord out;
+  out.mName = "e" + std::to_string(100 + aNumber);
+  out.mIncarnation = 7;
+  out.mCallerAddress = "10.0.0." + std::to_string(aNumber) + ":1";
+  out.mRegion = aRegion;
+  return out;
+}
+
+Roster MakeRoster(int aSelf, int aEntries, const std::string& aRegion)
+{
+  Roster out;
+  out.mSelf = MakeRecord(aSelf, aRegion);
+  for (int n = 0; n < aEntries; ++n) {
+    TakeRecord(out, MakeRecord(n, aRegion), kNow);
+  }
+  return out;
+}
+
+bool Names(const std::vector<std::string>& aList, const EntryRecord& aRecord)
+{
+  return std::find(aList.begin(), aList.end(), aRecord.mCallerAddress) !=
+         aList.end();
+}
+
+} // namespace
+
+Test(roster, callers_are_told_of_their_own_region)
+{
+  auto roster = MakeRoster(0, 3, "r1");
+  TakeRecord(roster, MakeRecord(9, "r2"), kNow);
+  const auto list = EntriesFor(roster, "r1", kNow);
+  cr_assert_eq(list.size(), 3U);
+  cr_assert_not(Names(list, MakeRecord(9, "r2")));
+  cr_assert_eq(EntriesFor(roster, "r2", kNow).size(), 1U);
+  // A region without entries is served by all others.
+  cr_assert_eq(EntriesFor(roster, "r3", kNow).size(), 4U);
+}
+
+Test(roster, heartbeats_reach_a_large_region_and_show_who_died)
+{
+  constexpr std::size_t kEntries = 28;
+  constexpr std::size_t kDead = 5;
+  std::vector<Roster> all;
+  for (int n = 0; n < static_cast<int>(kEntries); ++n) {
+    all.push_back(MakeRoster(n, static_cast<int>(kEntries), "r1"));
+  }
+  auto now = kNow;
+  const auto died = kNow + 6s;
+  const auto byName = [&](const std::string& aName) -> Roster& {
+    return *std::find_if(all.begin(), all.end(), [&](const Roster& a) {
+      return a.mSelf.mName == aName;
+    });
+  };
+  for (std::uint64_t turn = 0; now < died + 7s; ++turn) {
+    for (std::size_t n = 0; n < kEntries; ++n) {
+      if (n == kDead && now >= died) {
+        continue;
+      }
+      ++all[n].mOwnCounter;
+      for (const auto& it : PeersToCall(all[n], turn)) {
+        auto& peer = byName(it.mName);
+        if (&peer == &all[kDead] && now >= died) {
+          continue;
+        }
+        HearNews(peer, TellNews(all[n], now), now);
+        HearNews(all[n], TellNews(peer, now), now);
+      }
+    }
+    now += kHeartbeatPeriod;
+    const auto& dead = all[kDead].mSelf;
+    for (std::size_t n = 0; n < kEntries; ++n) {
+      if (n == kDead) {
+        continue;
+      }
+      const auto list = EntriesFor(all[n], "r1", now);
+      // The platform's bound: stability window and three seconds.
+      cr_assert(now < died + 7s || !Names(list, dead));
+      cr_assert_geq(list.size(), kEntries - 1);
+    }
+  }
+}
+
+Test(roster, an_entry_that_leaves_is_not_named)
+{
+  auto roster = MakeRoster(0, 3, "r1");
+  HearNews(roster, { { "e101", 7, 5, true } }, kNow);
+  cr_assert_not(Names(EntriesFor(roster, "r1", kNow), MakeRecord(1, "r1")));
+  roster.mLeaving = true;
+  cr_assert_not(Names(EntriesFor(roster, "r1", kNow), MakeRecord(0, "r1")));
+}
+
+Test(roster, an_entry_that_hears_nobody_does_not_declare_all_others_dead)
+{
+  auto roster = MakeRoster(0, 3, "r1");
+  HearNews(roster, { { "e101", 7, 5, false } }, kNow);
+  cr_assert_eq(EntriesFor(roster, "r1", kNow + 1min).size(), 3U);
+  cr_assert(RecordsToRemove(roster, kNow + 1min).empty());
+}
+
+Test(roster, limits_are_shared_by_the_most_entries_that_were_seen)
+{
+  auto roster = MakeRoster(0, 12, "r1");
+  cr_assert_eq(SharingEntries(roster), 12U);
+  for (int n = 1; n < 12; ++n) {
+    TakeRecordRemoval(roster, MakeRecord(n, "r1").mName);
+  }
+  cr_assert_eq(SharingEntries(roster), 12U);
+}
+
+Test(roster, one_live_entry_removes_the_record_of_a_dead_one)
+{
+  int removers = 0;
+  for (int n = 1; n < 6; ++n) {
+    auto roster = MakeRoster(n, 6, "r1");
+    for (int k = 1; k < 6; ++k) {
+      HearNews(roster, { { MakeRecord(k, "r1").mName, 7, 90, false } },
+               kNow + 20s);
+    }
+    const auto list = RecordsToRemove(roster, kNow + 20s);
+    removers += list.empty() ? 0 : 1;
+    cr_assert(list.empty() || list.front().mName == "e100");
+  }
+  cr_assert_eq(removers, 1);
+}
