Tell the entries of a region which targets hold an object warm

Ruled out: fewer owners; spills need them under load. Change: entries push which target served which object, at most every 7 s for each; targets known to be warm are candidates beside the owners. The life of a target is part of it, so that a restart is cold.

--- a/include/guavaline/placement/service_time.hpp
+++ b/include/guavaline/placement/service_time.hpp
@@ -10,12 +10,13 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace guavaline {
 
 /// How much an entry knows about an object at a target.
 enum class Warmth {
-  Known = 1, ///< This entry lately had it served there.
+  Known = 1, ///< It was lately served there.
   Likely,    ///< The target is the first owner; other entries send it there.
   Unlikely,  ///< Neither.
 };
@@ -37,20 +38,34 @@
 /// Takes in a run that did not wait.
 void NoteRun(RunTimes& aTimes, Warmth aWarmth, Millis aTook);
 
-/// Objects that this entry had served at targets, and when.
+/// Objects that targets lately served, by own requests and by the word of
+/// other entries.
 struct WarmTable
 {
-  std::unordered_map<std::uint64_t, TimePoint> mServed; ///< By both hashes.
+  std::unordered_map<std::uint64_t, TimePoint> mServed; ///< By WarmId.
+  std::vector<std::uint64_t> mUntold; ///< Of own requests, for other entries.
   std::size_t mMost = 20'000;
+  std::size_t mMostUntold = 500;
 };
 
-/// Notes that a target served an object.
-void NoteServed(WarmTable& aTable, std::uint64_t aKey, std::uint64_t aTarget,
+/// @returns the number of an object at one life of a target
+[[nodiscard]] std::uint64_t WarmId(std::uint64_t aKey,
+                                   std::uint64_t aLife) noexcept;
+
+/// Notes that a target served an object for this entry. Other entries are to
+/// be told, unless one of them was heard to have had it served lately.
+void NoteServed(WarmTable& aTable, std::uint64_t aWarmId, TimePoint aNow);
+
+/// Takes in what another entry had served.
+void HearServed(WarmTable& aTable, const std::vector<std::uint64_t>& aWarmIds,
                 TimePoint aNow);
 
-/// @returns true where a target lately served an object for this entry
-[[nodiscard]] bool IsWarm(const WarmTable& aTable, std::uint64_t aKey,
-                          std::uint64_t aTarget, TimePoint aNow);
+/// @returns what to tell other entries, which then counts as told
+[[nodiscard]] std::vector<std::uint64_t> TakeUntold(WarmTable& aTable);
+
+/// @returns true where a target lately served an object
+[[nodiscard]] bool IsWarm(const WarmTable& aTable, std::uint64_t aWarmId,
+                          TimePoint aNow);
 
 /// Round-trip times to failure domains, from opened connections.
 struct RoundTrips
--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -39,6 +39,7 @@
   Registration mRegistration;
   std::string mRegion;
   std::uint64_t mHash = 0; ///< Of the id, for rendezvous hashing.
+  std::uint64_t mLife = 0; ///< Hash of the id and its present life.
   TimePoint mColdUntil{};
   /// Until when it may be used although its registration has lapsed.
   std::optional<TimePoint> mLapsesAt;
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -93,6 +93,9 @@
 void PushChanges(Entry& aEntry, ObjectKind aKind, std::uint64_t aFrom,
                  const std::vector<ObjectChange>& aChanges);
 
+/// Tells the entries of the region which objects targets served.
+void PushWarmNews(Entry& aEntry);
+
 /// @returns a kind's name in logs and messages
 [[nodiscard]] const char* KindName(ObjectKind aKind) noexcept;
 
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -215,7 +215,7 @@
     NoteRun(aEntry.mRunTimes[aPassage.mRoute.mName], choice.mWarmth, inTarget);
   }
   NoteAnswer(aTarget.mLoad, inTarget, choice.mWait + choice.mRun, aNow);
-  NoteServed(aEntry.mWarm, aPassage.mKey, aTarget.mHash, aNow);
+  NoteServed(aEntry.mWarm, WarmId(aPassage.mKey, aTarget.mLife), aNow);
   NoteServed(aEntry.mCrashers, aPassage.mDigest);
 }
 
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -99,6 +99,10 @@
     TakePush(aEntry, aBody);
     co_return std::string("{}");
   }
+  if (aKind == kWarmKind) {
+    TakeWarmNews(aEntry, aBody);
+    co_return std::string("{}");
+  }
   // The caller pulls from the answer what it lacks; what this entry lacks it
   // pulls in its own turn.
   if (aKind != kHeartbeatKind || !TakeIn(aEntry, aBody)) {
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -16,6 +16,13 @@
 inline constexpr const char* kHeartbeatKind = "entry-heartbeat";
 inline constexpr const char* kPullKind = "entry-view-changes";
 inline constexpr const char* kPushKind = "entry-view-news";
+inline constexpr const char* kWarmKind = "entry-warm-news";
+
+/// Objects that targets lately served, by WarmId.
+struct WarmNews
+{
+  std::vector<std::uint64_t> mServed;
+};
 
 /// How far a view goes, and how long ago the store confirmed it.
 struct ViewNews
@@ -51,6 +58,7 @@
   std::vector<std::uint64_t> mRevisions;
 };
 
+BOOST_DESCRIBE_STRUCT(WarmNews, (), (mServed))
 BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge))
 BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mNews, mCrashers, mViews))
 BOOST_DESCRIBE_STRUCT(ViewQuestion, (), (mKind, mFrom))
@@ -76,5 +84,8 @@
 /// Takes in changes that a peer sent unasked.
 void TakePush(Entry& aEntry, const std::string& aBody);
 
+/// Takes in which objects a peer had served.
+void TakeWarmNews(Entry& aEntry, const std::string& aBody);
+
 } // namespace detail
 } // namespace guavaline
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -63,16 +63,24 @@
 }
 
 asio::awaitable<void> PushTo(Entry& aEntry, EntryRecord aPeer,
-                             std::string aBody)
+                             const char* aKind, std::string aBody)
 {
   const auto endpoint = ParseEndpoint(aPeer.mPeerAddress);
   if (endpoint) {
-    // A push that is lost is made good by the next heartbeat.
-    co_await aEntry.mPeers.Call(*endpoint, kPushKind, std::move(aBody),
+    // A push that is lost is made good by the next heartbeat or push.
+    co_await aEntry.mPeers.Call(*endpoint, aKind, std::move(aBody),
                                 kCallTimeout, aPeer.mPeerKey);
   }
 }
 
+void PushToRegion(Entry& aEntry, const char* aKind, const std::string& aBody)
+{
+  for (const auto& it : LivePeers(aEntry.mRoster, Clock::now())) {
+    asio::co_spawn(aEntry.mContext, PushTo(aEntry, it, aKind, aBody),
+                   asio::detached);
+  }
+}
+
 } // namespace
 
 std::vector<ViewNews> TellViews(const Entry& aEntry, TimePoint aNow)
@@ -149,8 +157,22 @@
 {
   const auto& view = aEntry.mFollows[aKind].mView;
   const auto body = ToJson(MakeMessage(aKind, view, aFrom, aChanges));
-  for (const auto& it : LivePeers(aEntry.mRoster, Clock::now())) {
-    asio::co_spawn(aEntry.mContext, PushTo(aEntry, it, body), asio::detached);
+  PushToRegion(aEntry, kPushKind, body);
+}
+
+void PushWarmNews(Entry& aEntry)
+{
+  const WarmNews news{ TakeUntold(aEntry.mWarm) };
+  if (!news.mServed.empty()) {
+    PushToRegion(aEntry, kWarmKind, ToJson(news));
+  }
+}
+
+void TakeWarmNews(Entry& aEntry, const std::string& aBody)
+{
+  WarmNews news;
+  if (FromJson(aBody, news).empty()) {
+    HearServed(aEntry.mWarm, news.mServed, Clock::now());
   }
 }
 
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -111,6 +111,7 @@
     ForgetLapsed(aEntry.mRegistry, now);
     ForgetOldCrashes(aEntry.mCrashers, now);
     ExpectRegions(aEntry);
+    PushWarmNews(aEntry);
     aEntry.mTargetClient.DropExpired(now);
     FlushLog();
   }
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -95,7 +95,7 @@
   const auto& registration = aTarget.mRegistration;
   auto& choice = out.mChoice;
   choice.mTarget.reset(&aTarget);
-  if (IsWarm(aView.mWarm, aRequest.mKey, aTarget.mHash, aNow)) {
+  if (IsWarm(aView.mWarm, WarmId(aRequest.mKey, aTarget.mLife), aNow)) {
     choice.mWarmth = Warmth::Known;
   } else {
     choice.mWarmth = aFirstOwner ? Warmth::Likely : Warmth::Unlikely;
@@ -135,7 +135,8 @@
 {
   Owners<kNearOwners> mNear;
   Owners<kFarOwners> mFar;
-  Owners<1> mCold; ///< Used where there is no other.
+  Owners<1> mCold;                ///< Used where there is no other.
+  std::vector<LiveTarget*> mWarm; ///< Known to be, and no owners above.
   bool mAny = false;
 };
 
@@ -162,6 +163,9 @@
         !MaySendUnseen(*it, aView.mCold, aView.mRegionEntries, aNow)) {
       continue;
     }
+    if (IsWarm(aView.mWarm, WarmId(aRequest.mKey, it->mLife), aNow)) {
+      out.mWarm.push_back(it.get());
+    }
     if (it->mRegion == aView.mTrips.mOwnRegion) {
       out.mNear.Offer(candidate);
     } else {
@@ -189,17 +193,26 @@
   }
 };
 
+/// @param aFar  the owners are of other regions
 template<std::size_t N>
 Best BestOf(const PlacementView& aView, const PlacementRequest& aRequest,
-            const Owners<N>& aOwners, bool aFar, TimePoint aNow)
+            const Owners<N>& aOwners, const std::vector<LiveTarget*>& aWarm,
+            bool aFar, TimePoint aNow)
 {
   Best out;
+  const auto consider = [&](LiveTarget& aTarget, bool aFirst) {
+    auto forecast = ForecastAt(aView, aRequest, aTarget, aFirst, aNow);
+    forecast.mChoice.mFar = aFar;
+    out.Consider(forecast);
+  };
   for (std::size_t n = 0; n < N; ++n) {
     if (aOwners.mBest[n].mTarget != nullptr) {
-      auto forecast =
-        ForecastAt(aView, aRequest, *aOwners.mBest[n].mTarget, n == 0, aNow);
-      forecast.mChoice.mFar = aFar;
-      out.Consider(forecast);
+      consider(*aOwners.mBest[n].mTarget, n == 0);
+    }
+  }
+  for (auto* it : aWarm) {
+    if ((it->mRegion != aView.mTrips.mOwnRegion) == aFar) {
+      consider(*it, false);
     }
   }
   return out;
@@ -270,11 +283,12 @@
     return Refuse({}, {}, {});
   }
   const auto field = FindOwners(aView, aRequest, list->second, aNow);
-  const auto near = BestOf(aView, aRequest, field.mNear, false, aNow);
-  const auto far = BestOf(aView, aRequest, field.mFar, true, aNow);
+  const auto near =
+    BestOf(aView, aRequest, field.mNear, field.mWarm, false, aNow);
+  const auto far = BestOf(aView, aRequest, field.mFar, field.mWarm, true, aNow);
   auto best = Weigh(near, far, aView.mLeeway);
   if (!near.mShortest && !far.mShortest) {
-    best = BestOf(aView, aRequest, field.mCold, false, aNow).mBest;
+    best = BestOf(aView, aRequest, field.mCold, {}, false, aNow).mBest;
   }
   if (!best) {
     return Refuse(field, near, far);
--- a/src/placement/service_time.cpp
+++ b/src/placement/service_time.cpp
@@ -3,6 +3,7 @@
 #include <guavaline/core/hash.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace guavaline {
 namespace {
@@ -14,6 +15,9 @@
                                                  Millis(200), Millis(500) };
 /// How long a target is taken to keep an object warm without requests.
 constexpr Millis kKeepsWarm{ 15'000 };
+/// An entry repeats its word on an object after this time, half of the time
+/// for which others rely on it.
+constexpr Millis kTellAgain{ 7'000 };
 /// Round trips before a connection was measured.
 constexpr Millis kInDomain{ 1 };
 constexpr Millis kInRegion{ 8 };
@@ -36,23 +40,60 @@
   ms = ms > 0 ? ms + kNewWeight * (took - ms) : took;
 }
 
-void NoteServed(WarmTable& aTable, std::uint64_t aKey, std::uint64_t aTarget,
-                TimePoint aNow)
+std::uint64_t WarmId(std::uint64_t aKey, std::uint64_t aLife) noexcept
+{
+  // One bit less, so that it fits a JSON integer.
+  return HashPair(aKey, aLife) >> 1U;
+}
+
+namespace {
+
+void Remember(WarmTable& aTable, std::uint64_t aWarmId, TimePoint aNow)
 {
   if (aTable.mServed.size() >= aTable.mMost) {
     std::erase_if(aTable.mServed, [aNow](const auto& a) {
       return aNow - a.second > kKeepsWarm;
     });
   }
-  if (aTable.mServed.size() < aTable.mMost) {
-    aTable.mServed[HashPair(aKey, aTarget)] = aNow;
+  const auto it = aTable.mServed.find(aWarmId);
+  if (it != aTable.mServed.end()) {
+    it->second = aNow;
+  } else if (aTable.mServed.size() < aTable.mMost) {
+    aTable.mServed.emplace(aWarmId, aNow);
   }
 }
 
-bool IsWarm(const WarmTable& aTable, std::uint64_t aKey, std::uint64_t aTarget,
-            TimePoint aNow)
+} // namespace
+
+void NoteServed(WarmTable& aTable, std::uint64_t aWarmId, TimePoint aNow)
+{
+  const auto it = aTable.mServed.find(aWarmId);
+  const bool told =
+    it != aTable.mServed.end() && aNow - it->second < kTellAgain;
+  if (!told && aTable.mUntold.size() < aTable.mMostUntold) {
+    aTable.mUntold.push_back(aWarmId);
+  }
+  if (!told) {
+    Remember(aTable, aWarmId, aNow);
+  }
+}
+
+void HearServed(WarmTable& aTable, const std::vector<std::uint64_t>& aWarmIds,
+                TimePoint aNow)
+{
+  for (const auto it : aWarmIds) {
+    Remember(aTable, it, aNow);
+  }
+}
+
+std::vector<std::uint64_t> TakeUntold(WarmTable& aTable)
+{
+  return std::exchange(aTable.mUntold, {});
+}
+
+bool IsWarm(const WarmTable& aTable, std::uint64_t aWarmId, TimePoint aNow)
 {
-  const auto it = aTable.mServed.find(HashPair(aKey, aTarget));
+  const auto it = aTable.mServed.find(aWarmId);
   return it != aTable.mServed.end() && aNow - it->second <= kKeepsWarm;
 }
 
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -25,6 +25,8 @@
   TargetPtr target(new LiveTarget);
   target->mRegistration = aRegistration;
   target->mHash = Hash(aRegistration.mId);
+  target->mLife =
+    HashPair(target->mHash, static_cast<std::uint64_t>(aRegistration.mStarted));
   target->mColdUntil = aNow + aRegistration.mColdLeft;
   target->mLeft = aRegistration.mDraining;
   const auto domain = aRegistry.mDomains.find(aRegistration.mFailureDomain);
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -66,10 +66,28 @@
   WarmTable table;
   table.mMost = 100;
   for (std::uint64_t n = 0; n < 300; ++n) {
-    NoteServed(table, n, 7, kNow);
+    NoteServed(table, WarmId(n, 7), kNow);
   }
   cr_assert_leq(table.mServed.size(), 100U);
-  cr_assert(IsWarm(table, 5, 7, kNow + 1s));
-  cr_assert_not(IsWarm(table, 5, 8, kNow + 1s));
-  cr_assert_not(IsWarm(table, 5, 7, kNow + 1min));
+  cr_assert(IsWarm(table, WarmId(5, 7), kNow + 1s));
+  cr_assert_not(IsWarm(table, WarmId(5, 8), kNow + 1s));
+  cr_assert_not(IsWarm(table, WarmId(5, 7), kNow + 1min));
+}
+
+Test(load, other_entries_are_told_once_in_a_while)
+{
+  WarmTable first;
+  WarmTable second;
+  const auto id = WarmId(5, 7);
+  NoteServed(first, id, kNow);
+  NoteServed(first, id, kNow + 1s);
+  const auto told = TakeUntold(first);
+  cr_assert_eq(told.size(), 1U);
+  HearServed(second, told, kNow + 1s);
+  cr_assert(IsWarm(second, id, kNow + 2s));
+  // The second entry need not repeat what it has just heard.
+  NoteServed(second, id, kNow + 2s);
+  cr_assert(TakeUntold(second).empty());
+  NoteServed(first, id, kNow + 10s);
+  cr_assert_eq(TakeUntold(first).size(), 1U);
 }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -98,7 +98,7 @@
 {
   Scene scene(10, 0);
   const auto owner = scene.Choose(Key(1), kNow).mTarget;
-  NoteServed(scene.mWarm, Key(1), owner->mHash, kNow);
+  NoteServed(scene.mWarm, WarmId(Key(1), owner->mLife), kNow);
   owner->mLoad.mOwn = 8;
   const auto choice = scene.Choose(Key(1), kNow);
   cr_assert_eq(choice.mTarget, owner);
@@ -106,6 +106,25 @@
   cr_assert_gt(choice.mWait.count(), 0);
 }
 
+Test(placement, a_target_that_others_found_warm_is_preferred_to_a_cold_owner)
+{
+  Scene scene(10, 0);
+  const auto owner = scene.Choose(Key(1), kNow).mTarget;
+  owner->mLoad.mOwn = 30;
+  // Neither the first nor the second owner.
+  for (auto& [id, target] : scene.mRegistry.mTargets) {
+    const auto second = scene.Choose(Key(1), kNow).mTarget;
+    if (target != owner && target != second) {
+      HearServed(scene.mWarm, { WarmId(Key(1), target->mLife) }, kNow);
+      const auto choice = scene.Choose(Key(1), kNow + 1s);
+      cr_assert_eq(choice.mTarget, target);
+      cr_assert_eq(choice.mWarmth, Warmth::Known);
+      return;
+    }
+  }
+  cr_assert_fail("no third target");
+}
+
 Test(placement, a_full_owner_spills_to_the_next_and_stays_there)
 {
   Scene scene(10, 0);
@@ -287,7 +306,7 @@
     ++target->mLoad.mOwn;
     running.push({ slot, target });
     out.mInTime += slot - now <= kGoal ? 1 : 0;
-    NoteServed(aScene.mWarm, key, target->mHash, slot);
+    NoteServed(aScene.mWarm, WarmId(key, target->mLife), slot);
   }
   return out;
 }
