Use more of the shared retry budget

Ruled out: lack of sends; kMostSends was not reached. Change: 0.85 of the shared ratio and 0.7 of the slack in place of a half each.

--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -28,6 +28,10 @@
 constexpr Millis kDefaultLimit{ 10'000 };
 /// Most sends of one attempt, counting those that the target refused.
 constexpr std::uint32_t kMostSends = 3;
+/// Parts of the shared bounds on retries that are used; the windows in which
+/// they are counted slide.
+constexpr double kRetryRatioPart = 0.85;
+constexpr double kRetrySlackPart = 0.7;
 constexpr Millis kRetryAfterUnready{ 500 };
 /// Age of the views above which any target may have become cold unseen;
 /// longer than evacuations are watched apart.
@@ -309,10 +313,8 @@
   if (added) {
     const auto& bounds = aEntry.mSettings.mBounds;
     auto& budget = it->second;
-    // Half of the shared slack and ratio: other entries see other requests,
-    // and the window slides.
-    budget.mPerRequest = bounds.mRetryRatio / 2;
-    budget.mMost = bounds.mRetrySlack / 2 /
+    budget.mPerRequest = bounds.mRetryRatio * kRetryRatioPart;
+    budget.mMost = bounds.mRetrySlack * kRetrySlackPart /
                    static_cast<double>(SharingEntries(aEntry.mRoster));
     budget.mTokens = budget.mMost;
   }
