Repeat a cut watch at once, and give room to callers that return

Ruled out: the listing itself (4 ms). Change: a view counts as heard only if it was confirmed since the own access failed; test follow::a_cut_watch_is_repeated_at_once_unless_others_have_access failed first. A request that has used part of its caller's time may wait behind 0.35 of a target's slots more than others: it was refused before.

--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -24,6 +24,7 @@
   std::uint64_t mKey = 0; ///< Hash of its object.
   TimePoint mDeadline;
   std::set<std::string> mExcluded; ///< Ids of targets that failed it.
+  bool mReturning = false;         ///< Its caller was refused before.
 };
 
 /// Requests a second that a cold target bears, from all entries together.
--- a/src/daemon/log.cpp
+++ b/src/daemon/log.cpp
@@ -53,7 +53,7 @@
 constexpr double kMostLinesAtOnce = 120;
 constexpr double kRoutineFloor = kMostLinesAtOnce / 2;
 /// Memory for lines that wait for their reader.
-constexpr std::size_t kMostGathered = 64 * 1024;
+constexpr std::size_t kMostGathered = 65'536;
 
 /// Gathers lines and writes them without blocking.
 class GatheringSink
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -48,6 +48,7 @@
   WarmTable mWarm;
   RegionShare mRegionShare;
   RunTimeTable mRunTimes;
+  std::map<std::string, Millis> mFullLimits;   ///< Callers' limits, by route.
   std::map<std::string, SplitTally> mSplits;   ///< By route.
   std::map<std::string, RetryBudget> mRetries; ///< By service.
   CrasherTable mCrashers;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -33,6 +33,10 @@
 constexpr double kRetryRatioPart = 0.85;
 constexpr double kRetrySlackPart = 0.7;
 constexpr Millis kRetryAfterUnready{ 500 };
+/// A caller with less than these twentieths of the full limit left returns.
+constexpr int kFreshPart = 19;
+constexpr int kWhole = 20;
+constexpr int kLimitFade = 1'000;
 /// Age of the views above which any target may have become cold unseen;
 /// longer than evacuations are watched apart.
 constexpr Millis kUnseenAge{ 4'500 };
@@ -70,6 +74,7 @@
   std::uint64_t mDigest = 0;
   TimePoint mArrived;
   TimePoint mDeadline;
+  bool mReturning = false;
   std::uint64_t mVersion = 0;   ///< Of the configuration.
   std::set<std::string> mTried; ///< Targets that failed it or refused it.
   std::uint32_t mRuns = 0;      ///< Targets that may have run it.
@@ -141,6 +146,7 @@
                { "object", HexId(aPassage.mKey) },
                { "target", target },
                { "sends", std::to_string(aPassage.mSends) },
+               { "returning", aPassage.mReturning ? "yes" : "no" },
                { "warmth", std::to_string(static_cast<int>(choice.mWarmth)) },
                { "wait_ms", Text(choice.mWait) },
                { "run_ms", Text(choice.mRun) },
@@ -355,8 +361,8 @@
                             IsUnseen(aEntry, aNow),
                             LeewayOf(aEntry.mRegionShare) };
   const PlacementRequest request{ aPassage.mRoute, aPassage.mService,
-                                  aPassage.mKey, aPassage.mDeadline,
-                                  aPassage.mTried };
+                                  aPassage.mKey,   aPassage.mDeadline,
+                                  aPassage.mTried, aPassage.mReturning };
   aPassage.mChoice = ChooseOwner(view, request, aNow);
 }
 
@@ -455,6 +461,15 @@
   return result.ec == std::errc{} && n > 0 ? Millis(n) : kDefaultLimit;
 }
 
+/// Callers of a route start with one time limit; one that has used some of it
+/// was refused before. Limits that are no longer seen fade.
+bool IsReturning(Entry& aEntry, const Route& aRoute, Millis aLimit)
+{
+  auto& full = aEntry.mFullLimits[aRoute.mName];
+  full = std::max(aLimit, full - full / kLimitFade);
+  return aLimit * kWhole < full * kFreshPart;
+}
+
 std::string_view HostOf(const HttpRequest& aRequest)
 {
   const auto host = FindHeader(aRequest.mHeaders, "Host");
@@ -499,6 +514,7 @@
   }
   passage.mRoute = *route;
   auto limit = TimeLeft(aEntry.mPlatform.mHeaders, passage.mRequest);
+  passage.mReturning = IsReturning(aEntry, *route, limit);
   if (route->mTimeout.count() > 0) {
     limit = std::min(limit, route->mTimeout);
   }
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -16,6 +16,9 @@
 /// requests of the highest priority and for all others.
 constexpr double kMostWaitingFirst = 1.0;
 constexpr double kMostWaitingOther = 0.5;
+/// Further part for requests whose callers were refused before: refusing them
+/// again ends them.
+constexpr double kMostWaitingReturning = 0.35;
 /// Penalty for a target all of whose exchanges fail.
 constexpr double kFailingMs = 1'500;
 constexpr Millis kLeastClear{ 100 };
@@ -78,6 +81,13 @@
   return it != aRegistry.mReturned.end() && aNow - it->second < kReturnTime;
 }
 
+double WaitingPart(const PlacementRequest& aRequest) noexcept
+{
+  const double part =
+    aRequest.mRoute.mPriority <= 1 ? kMostWaitingFirst : kMostWaitingOther;
+  return aRequest.mReturning ? part + kMostWaitingReturning : part;
+}
+
 /// The expected course of a request at one target.
 struct Forecast
 {
@@ -108,8 +118,7 @@
   const double likely =
     static_cast<double>(ExpectedRun(aView.mRunTimes, Warmth::Likely).count());
   const double waitMs = out.mAhead * likely * slowness / slots;
-  out.mMostAhead = slots * (aRequest.mRoute.mPriority <= 1 ? kMostWaitingFirst
-                                                           : kMostWaitingOther);
+  out.mMostAhead = slots * WaitingPart(aRequest);
   choice.mRoundTrip =
     RoundTripTo(aView.mTrips, registration.mFailureDomain, aTarget.mRegion);
   choice.mWait = Millis(static_cast<std::int64_t>(waitMs));
--- a/src/views/follow.cpp
+++ b/src/views/follow.cpp
@@ -62,7 +62,9 @@
     return false;
   }
   if (!aAccess.mConnected) {
-    return aNow - aAccess.mCalled < kProbeWhileHearing;
+    // Another entry has access where the view was confirmed meanwhile.
+    return aConfirmed > aAccess.mFailingSince.value_or(aNow) &&
+           aNow - aAccess.mCalled < kProbeWhileHearing;
   }
   return !aWatches;
 }
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -67,3 +67,13 @@
   cr_assert(HearsEnough(access, times, later, true, later));
   cr_assert_not(HearsEnough(access, times, kNow + 4s, true, kNow + 4s));
 }
+
+Test(follow, a_cut_watch_is_repeated_at_once_unless_others_have_access)
+{
+  const auto times = FollowTimesFor(5'000ms);
+  StoreAccess access;
+  NoteCall(access, false, kNow);
+  // The view is fresh, but nobody has confirmed it since.
+  cr_assert_not(HearsEnough(access, times, kNow - 100ms, true, kNow + 200ms));
+  cr_assert(HearsEnough(access, times, kNow + 150ms, true, kNow + 200ms));
+}
