End an outage with the first call that works; count crashes; keep connections

(3) Reading: crashes of targets were counted nowhere on this path. Ruled out: (1) late watches; the evacuations' watch worked at once. Change: (1) access is judged over the calls of all kinds; (2) callers are taken to be spread over failure domains, and a region short of slots starts with 0.85 of its part; (3) a target that refuses connections within 3 s of breaking one crashed, and its last request counts; (4) a finite limit.

--- a/include/guavaline/placement/region_share.hpp
+++ b/include/guavaline/placement/region_share.hpp
@@ -37,12 +37,12 @@
 /// @returns where the next request may go
 [[nodiscard]] RegionLeeway LeewayOf(const RegionShare& aShare) noexcept;
 
-/// @returns the far share that evens out the slots of a region and the
-///          callers that its entries stand for
+/// @returns the far share that evens out the slots of a region and its
+///          callers, who are taken to be spread evenly over failure domains
 /// @param aOwnSlots    slots of the own region's targets, of all
-/// @param aOwnEntries  entries of the own region, of all
+/// @param aOwnDomains  failure domains of the own region, of all
 [[nodiscard]] double FirstFarShare(double aOwnSlots, double aAllSlots,
-                                   double aOwnEntries,
-                                   double aAllEntries) noexcept;
+                                   double aOwnDomains,
+                                   double aAllDomains) noexcept;
 
 } // namespace guavaline
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -29,6 +29,14 @@
   StoreAccess mAccess;
 };
 
+/// A run that ended with its connection.
+struct BrokenRun
+{
+  std::uint64_t mDigest = 0; ///< Of the request.
+  TimePoint mStarted{};
+  TimePoint mBroke{};
+};
+
 struct Entry
 {
   Entry(boost::asio::io_context& aContext, EntrySettings aSettings,
@@ -44,6 +52,9 @@
   TargetRegistry mRegistry;
   Roster mRoster;
   std::map<ObjectKind, FollowState> mFollows;
+  StoreAccess mStoreAccess; ///< By calls of all kinds.
+  /// The request whose connection a target broke last, by target id.
+  std::map<std::string, BrokenRun> mBroken;
   RoundTrips mTrips;
   WarmTable mWarm;
   RegionShare mRegionShare;
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -152,9 +152,11 @@
                                          KindName(aKind) + "\",call=\"" +
                                          aCall + "\"");
   const bool worked = aReply.mStatus == StoreStatus::Ok || aReply.mHistoryGone;
-  if (InOutage(state.mAccess, aNow)) {
+  // Of whatever kind the first call is that works, it ends the outage.
+  if (InOutage(aEntry.mStoreAccess, aNow)) {
     NoteRegistryTrouble(aEntry.mRegistry, aNow);
   }
+  NoteCall(aEntry.mStoreAccess, worked, aNow);
   if (NoteCall(state.mAccess, worked, aNow)) {
     Log(worked ? LogLevel::Info : LogLevel::Warning,
         worked ? "store_regained" : "store_lost",
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -33,6 +33,8 @@
 constexpr double kRetryRatioPart = 0.85;
 constexpr double kRetrySlackPart = 0.7;
 constexpr Millis kRetryAfterUnready{ 500 };
+/// A target that takes no connections this soon after it broke one crashed.
+constexpr Millis kCrashSeen{ 3'000 };
 /// A caller with less than these twentieths of the full limit left returns.
 constexpr int kFreshPart = 19;
 constexpr int kWhole = 20;
@@ -229,15 +231,42 @@
   NoteServed(aEntry.mCrashers, aPassage.mDigest);
 }
 
+/// Tells a target that crashed from one whose answer was lost: the crashed one
+/// takes no connections afterwards. The request that it ran last is suspect.
+void NoteBreak(Entry& aEntry, const Passage& aPassage,
+               const LiveTarget& aTarget, const ExchangeResult& aResult,
+               TimePoint aStarted, TimePoint aNow)
+{
+  const auto& id = aTarget.mRegistration.mId;
+  if (aResult.mMayHaveReached && !aResult.mTimedOut) {
+    aEntry.mBroken[id] = { aPassage.mDigest, aStarted, aNow };
+    return;
+  }
+  const auto it = aEntry.mBroken.find(id);
+  if (!aResult.mConnectFailed || aResult.mTimedOut ||
+      it == aEntry.mBroken.end()) {
+    return;
+  }
+  const auto run = it->second;
+  aEntry.mBroken.erase(it);
+  if (aNow - run.mBroke < kCrashSeen) {
+    NoteCrash(aEntry.mCrashers, run.mDigest, run.mStarted, run.mBroke);
+    Log(LogLevel::Warning, "target_crashed",
+        { { "target", id }, { "digest", HexId(run.mDigest) } });
+  }
+}
+
 /// Learns from an exchange that brought no answer.
-void LearnFailure(const Passage& aPassage, LiveTarget& aTarget,
-                  const ExchangeResult& aResult, TimePoint aNow)
+void LearnFailure(Entry& aEntry, const Passage& aPassage, LiveTarget& aTarget,
+                  const ExchangeResult& aResult, TimePoint aStarted,
+                  TimePoint aNow)
 {
   if (aResult.mConnectFailed) {
     NoteUnreachable(aTarget.mLoad, aNow);
   } else if (!aResult.mTimedOut) {
     NoteFailed(aTarget.mLoad, aNow);
   }
+  NoteBreak(aEntry, aPassage, aTarget, aResult, aStarted, aNow);
   LogBounded(LogClass::Failure, LogLevel::Warning, "exchange_failed",
              { { "request", aPassage.mId },
                { "target", aTarget.mRegistration.mId },
@@ -297,7 +326,7 @@
   }
   SendOutcome out;
   if (!result.mResponse) {
-    LearnFailure(aPassage, *target, result, now);
+    LearnFailure(aEntry, aPassage, *target, result, started, now);
     out.mNotRun = !result.mMayHaveReached;
     out.mWorthRetry = true;
     out.mWhat = result.mTimedOut ? "timeout" : "connection_lost";
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -93,14 +93,13 @@
     all += slots;
     own += target->mRegion == aEntry.mSettings.mRegion ? slots : 0;
   }
-  double ownEntries = 1;
-  for (const auto& [name, entry] : aEntry.mRoster.mOthers) {
-    ownEntries += entry.mRecord.mRegion == aEntry.mSettings.mRegion ? 1 : 0;
+  double ownDomains = 0;
+  for (const auto& [domain, region] : aEntry.mSettings.mDomains) {
+    ownDomains += region == aEntry.mSettings.mRegion ? 1 : 0;
   }
-  ExpectFarShare(
-    aEntry.mRegionShare,
-    FirstFarShare(own, all, ownEntries,
-                  static_cast<double>(SharingEntries(aEntry.mRoster))));
+  const auto allDomains = static_cast<double>(aEntry.mSettings.mDomains.size());
+  ExpectFarShare(aEntry.mRegionShare,
+                 FirstFarShare(own, all, ownDomains, allDomains));
 }
 
 asio::awaitable<void> Upkeep(Entry& aEntry)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -28,6 +28,8 @@
 constexpr std::uint32_t kMostHeaderBytes = 16'384;
 /// A kept connection is left this long before its peer closes it.
 constexpr Millis kIdleMargin{ 1'000 };
+/// Where a peer does not say how long it keeps an idle connection.
+constexpr Millis kKeptUnbounded{ 86'400'000 };
 /// Keep-alive probes of idle connections, in seconds and tries: a connection
 /// that has gone silent is found within about three seconds.
 constexpr int kProbeAfterSeconds = 1;
@@ -51,7 +53,7 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   TimePoint mProven{};
-  Millis mIdleLimit{ Millis::max() }; ///< The peer closes it after that.
+  Millis mIdleLimit{ kKeptUnbounded }; ///< The peer closes it after that.
 };
 
 using Connection = boost::intrusive_ptr<PooledConnection>;
@@ -196,14 +198,14 @@
   constexpr std::string_view kTimeout = "timeout=";
   const auto at = aKeepAlive.find(kTimeout);
   if (at == std::string_view::npos) {
-    return Millis::max();
+    return kKeptUnbounded;
   }
   const auto text = aKeepAlive.substr(at + kTimeout.size());
   int seconds = 0;
   const auto read =
     std::from_chars(text.data(), text.data() + text.size(), seconds);
   return read.ec == std::errc{} ? Seconds(seconds) - kIdleMargin
-                                : Millis::max();
+                                : kKeptUnbounded;
 }
 
 asio::awaitable<Connection> Connect(asio::any_io_executor aExecutor,
--- a/src/placement/region_share.cpp
+++ b/src/placement/region_share.cpp
@@ -16,6 +16,9 @@
 /// Longest gap between requests for which the share moves on.
 constexpr double kMostGapSeconds = 0.5;
 constexpr double kMostFirstFar = 0.8;
+/// Part of its slots that a region short of them uses at first: objects are
+/// cold then and hold slots for longer.
+constexpr double kColdStart = 0.85;
 
 } // namespace
 
@@ -46,15 +49,18 @@
   return { next <= kDepth, next - 1 >= -kDepth };
 }
 
-double FirstFarShare(double aOwnSlots, double aAllSlots, double aOwnEntries,
-                     double aAllEntries) noexcept
+double FirstFarShare(double aOwnSlots, double aAllSlots, double aOwnDomains,
+                     double aAllDomains) noexcept
 {
-  if (aAllSlots <= 0 || aOwnEntries <= 0) {
+  if (aAllSlots <= 0 || aOwnDomains <= 0) {
     return 0;
   }
   const double slots = aOwnSlots / aAllSlots;
-  const double callers = aOwnEntries / aAllEntries;
-  return std::clamp(1 - slots / callers, 0.0, kMostFirstFar);
+  const double callers = aOwnDomains / aAllDomains;
+  if (slots >= callers) {
+    return 0;
+  }
+  return std::min(1 - kColdStart * slots / callers, kMostFirstFar);
 }
 
 } // namespace guavaline
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -77,3 +77,15 @@
   cr_assert_not(HearsEnough(access, times, kNow - 100ms, true, kNow + 200ms));
   cr_assert(HearsEnough(access, times, kNow + 150ms, true, kNow + 200ms));
 }
+
+Test(follow, the_first_call_that_works_ends_an_outage)
+{
+  StoreAccess access;
+  NoteCall(access, false, kNow);
+  NoteCall(access, false, kNow + 2s);
+  cr_assert(InOutage(access, kNow + 2s));
+  NoteCall(access, true, kNow + 2100ms);
+  // A call of another kind that began in the outage fails late.
+  NoteCall(access, false, kNow + 2200ms);
+  cr_assert_not(InOutage(access, kNow + 3s));
+}
--- /dev/null
+++ b/tests/unit/forward_test.cpp
@@ -0,0 +1,302 @@
+#include "entry/entry.hpp"
+
+#include "scripted_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace guavaline;
+using namespace guavaline::detail;
+using namespace std::chrono_literals;
+using tests::ScriptedAnswer;
+using tests::ScriptedServer;
+
+namespace {
+
+namespace asio = boost::asio;
+
+std::string Answer(unsigned aStatus, const std::string& aHeaders = "")
+{
+  return "HTTP/1.1 " + std::to_string(aStatus) + " Any\r\n" + aHeaders +
+         "Content-Length: 2\r\n\r\nok";
+}
+
+PlatformAdapter MakeAdapter()
+{
+  PlatformAdapter out;
+  out.mHeaders = { "Id", "Time-Left", "Target", "Not-Run", "Load", "Proof" };
+  out.mObjectOf = [](const HttpRequest&) { return std::string("object"); };
+  out.mReadLoad = [](std::string_view) {
+    return std::optional<ReportedLoad>();
+  };
+  return out;
+}
+
+EntrySettings MakeSettings()
+{
+  EntrySettings out;
+  out.mName = "e1";
+  out.mFailureDomain = "d1";
+  out.mRegion = "r1";
+  out.mDomains = { { "d1", "r1" } };
+  return out;
+}
+
+/// An entry with one or more targets and one route.
+struct Bed
+{
+  asio::io_context mContext{ 1 };
+  HttpClient mStoreHttp{ mContext.get_executor() };
+  Entry mEntry{ mContext, MakeSettings(), mStoreHttp, MakeAdapter() };
+  std::vector<std::unique_ptr<ScriptedServer>> mTargets;
+
+  explicit Bed(RequestKind aKind)
+  {
+    Route route;
+    route.mName = "route";
+    route.mHost = "a.example";
+    route.mPathPrefix = "/x/";
+    route.mKind = aKind;
+    route.mTimeout = 1s;
+    route.mMostTargets = 2;
+    route.mServices = { { "service", 1 } };
+    mEntry.mRouting.mVersion = 3;
+    mEntry.mRouting.mRoutes = { route };
+    for (const auto it : { ObjectKind::Targets, ObjectKind::Evacuations }) {
+      mEntry.mFollows[it].mView.mListed = true;
+      mEntry.mFollows[it].mView.mConfirmed = Clock::now();
+    }
+  }
+
+  void Add(const tests::Script& aScript)
+  {
+    mTargets.push_back(std::make_unique<ScriptedServer>(mContext, aScript));
+    Registration target;
+    target.mId = "t" + std::to_string(mTargets.size());
+    target.mService = "service";
+    target.mAddress = "127.0.0.1:" + std::to_string(mTargets.back()->Port());
+    target.mFailureDomain = "d1";
+    target.mSlots = 4;
+    TakeRegistration(mEntry.mRegistry, target, Clock::now());
+  }
+
+  HttpResponse Send(const std::string& aTimeLeft = "2000",
+                    const std::string& aPath = "/x/1")
+  {
+    HttpResponse out;
+    asio::co_spawn(
+      mContext,
+      [&]() -> asio::awaitable<void> {
+        HttpRequest request;
+        request.mTarget = aPath;
+        request.mArrived = Clock::now();
+        request.mHeaders = { { "Host", "a.example" },
+                             { "Id", "q1" },
+                             { "Time-Left", aTimeLeft },
+                             { "Connection", "close" },
+                             { "Other", "kept" } };
+        out = co_await ForwardRequest(mEntry, std::move(request));
+        mContext.stop();
+      },
+      asio::detached);
+    mContext.restart();
+    mContext.run();
+    return out;
+  }
+
+  [[nodiscard]] int Runs() const
+  {
+    int n = 0;
+    for (const auto& it : mTargets) {
+      n += it->Requests();
+    }
+    return n;
+  }
+};
+
+ScriptedAnswer Lose(int, const std::string&)
+{
+  return { "", false, true };
+}
+
+ScriptedAnswer Shed(int, const std::string&)
+{
+  return { Answer(503, "Not-Run: 1\r\n") };
+}
+
+ScriptedAnswer Serve(int, const std::string&)
+{
+  return { Answer(200, "Proof: p\r\n") };
+}
+
+} // namespace
+
+Test(forward, the_target_gets_the_request_unchanged_with_the_time_left)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(Serve);
+  const auto out = bed.Send("700");
+  cr_assert_eq(out.mStatus, 200U);
+  cr_assert_eq(FindHeader(out.mHeaders, "Proof"), "p");
+  const auto& head = bed.mTargets[0]->Heads().at(0);
+  cr_assert_neq(head.find("GET /x/1 HTTP/1.1"), std::string::npos);
+  cr_assert_neq(head.find("Id: q1"), std::string::npos);
+  cr_assert_neq(head.find("Other: kept"), std::string::npos);
+  cr_assert_neq(head.find("Target: t1"), std::string::npos);
+  cr_assert_neq(head.find("Host: a.example"), std::string::npos);
+  cr_assert_eq(head.find("Connection: close"), std::string::npos);
+  const auto at = head.find("Time-Left: ");
+  cr_assert_leq(std::stoi(head.substr(at + 11)), 700);
+}
+
+Test(forward, a_non_idempotent_request_that_may_have_run_is_not_sent_again)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(Lose);
+  bed.Add(Lose);
+  const auto out = bed.Send();
+  cr_assert_eq(out.mStatus, 502U);
+  cr_assert_eq(bed.Runs(), 1);
+}
+
+Test(forward, an_idempotent_request_is_sent_to_another_target)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(Lose);
+  bed.Add(Lose);
+  bed.Add(Lose);
+  cr_assert_eq(bed.Send().mStatus, 502U);
+  // No more targets than the route allows.
+  cr_assert_eq(bed.Runs(), 2);
+}
+
+Test(forward, a_refusal_by_the_target_lets_even_an_unsafe_request_go_on)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  int sheds = 0;
+  const auto once = [&](int, const std::string&) -> ScriptedAnswer {
+    return sheds++ == 0 ? ScriptedAnswer{ Answer(503, "Not-Run: 1\r\n") }
+                        : ScriptedAnswer{ Answer(200) };
+  };
+  bed.Add(once);
+  bed.Add(once);
+  cr_assert_eq(bed.Send().mStatus, 200U);
+  cr_assert_eq(bed.Runs(), 2);
+}
+
+Test(forward, when_all_targets_refuse_the_caller_is_told_that_nothing_ran)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(Shed);
+  bed.Add(Shed);
+  const auto out = bed.Send();
+  cr_assert_eq(out.mStatus, 503U);
+  cr_assert_not(FindHeader(out.mHeaders, "Retry-After").empty());
+  cr_assert(FindHeader(out.mHeaders, "Proof").empty());
+}
+
+Test(forward, a_request_to_a_port_that_nobody_listens_on_has_not_run)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  Registration target;
+  target.mId = "t9";
+  target.mService = "service";
+  target.mAddress = "127.0.0.1:1";
+  target.mFailureDomain = "d1";
+  target.mSlots = 4;
+  TakeRegistration(bed.mEntry.mRegistry, target, Clock::now());
+  cr_assert_eq(bed.Send().mStatus, 503U);
+}
+
+Test(forward, another_target_at_the_address_gets_no_more_requests)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(
+    [](int, const std::string&) -> ScriptedAnswer { return { Answer(421) }; });
+  cr_assert_eq(bed.Send().mStatus, 503U);
+  cr_assert_eq(bed.Send().mStatus, 503U);
+  cr_assert_eq(bed.Runs(), 1);
+}
+
+Test(forward, a_failure_of_the_target_is_passed_on_as_it_is)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add([](int, const std::string&) -> ScriptedAnswer {
+    return { Answer(500, "Proof: p\r\n") };
+  });
+  const auto out = bed.Send();
+  cr_assert_eq(out.mStatus, 500U);
+  cr_assert_eq(FindHeader(out.mHeaders, "Proof"), "p");
+  cr_assert_eq(bed.Runs(), 1);
+}
+
+Test(forward, a_request_that_is_not_answered_ends_at_the_routes_timeout)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.mEntry.mRouting.mRoutes[0].mTimeout = 300ms;
+  bed.Add([](int, const std::string&) -> ScriptedAnswer { return {}; });
+  cr_assert_eq(bed.Send().mStatus, 504U);
+}
+
+Test(forward, an_entry_without_a_view_says_that_nothing_ran)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(Serve);
+  bed.mEntry.mRouting.mVersion = 0;
+  cr_assert_eq(bed.Send().mStatus, 503U);
+  bed.mEntry.mRouting.mVersion = 3;
+  cr_assert_eq(bed.Send("2000", "/other/").mStatus, 404U);
+  cr_assert_eq(bed.Runs(), 0);
+}
+
+Test(forward, an_entry_that_stops_takes_no_late_requests)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(Serve);
+  bed.mEntry.mStopping = Clock::now();
+  cr_assert_eq(bed.Send().mStatus, 200U);
+  bed.mEntry.mStopping = Clock::now() - 4s;
+  cr_assert_eq(bed.Send().mStatus, 503U);
+  cr_assert_eq(bed.Runs(), 1);
+}
+
+Test(forward, retries_stay_within_the_shared_budget)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(Shed);
+  bed.Add(Shed);
+  constexpr int kRequests = 300;
+  for (int n = 0; n < kRequests; ++n) {
+    bed.Send();
+  }
+  const auto& bounds = bed.mEntry.mSettings.mBounds;
+  cr_assert_leq(bed.Runs() - kRequests,
+                bounds.mRetryRatio * kRequests + bounds.mRetrySlack);
+}
+
+Test(forward, a_request_that_crashes_targets_is_refused_after_the_second)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  for (std::size_t n = 0; n < 2; ++n) {
+    bed.Add(Lose);
+    cr_assert_eq(bed.Send("2000", "/x/bad").mStatus, 502U);
+    bed.mTargets[n]->StopListening();
+    // The next request finds that the target is down.
+    cr_assert_eq(bed.Send("2000", "/x/good").mStatus, 503U);
+  }
+  bed.Add(Serve);
+  cr_assert_eq(bed.Send("2000", "/x/bad").mStatus, 503U);
+  cr_assert_eq(bed.Send("2000", "/x/good").mStatus, 200U);
+  cr_assert_eq(bed.mTargets[2]->Requests(), 1);
+}
+
+Test(forward, lost_answers_make_no_request_suspect)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(Lose);
+  for (int n = 0; n < 5; ++n) {
+    cr_assert_eq(bed.Send("2000", "/x/good").mStatus, 502U);
+  }
+}
