Fetch large changes from the store, and lint the platform's folder

Ruled out: reading it (the watchers had it in time). Change: of changes above 32 KiB only the revision is passed on; who is behind asks the store at once. Tests in relay_test.cpp; lint covers platform/ and fails on names of the wire elsewhere; the tests build by deploy/system.toml.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 clang-format --dry-run --Werror "${files[@]}"
 
 # Decision slices do no I/O.
-decisions='core codec configuration admission steering targets attempts lookup membership metrics crashers'
+decisions='core codec configuration admission steering targets attempts lookup membership metrics crashers routing registry placement roster views'
 for slice in $decisions; do
   if grep -rnE '#include <(boost/(asio|beast)|nghttp2|spdlog|sys/|unistd)' \
        "src/$slice" "include/guavaline/$slice" 2>/dev/null; then
@@ -14,13 +14,19 @@
     exit 1
   fi
 done
-if git ls-files src apps include | xargs grep -nE 'io_uring|shm_open|\bfork\(|execv|posix_spawn|std::system\('; then
+# Names of the platform's wire stay in its folder.
+wire='X-Server-Seal|X-Target-Instance|X-Affinity-Key|X-Not-Executed|X-Deadline-Ms|X-Backend-Load|X-Instance-Id|cold_remaining|edge_addresses|resource_type|weighted_services|path_prefix|allowed_regions|target_latency|max_attempts|/objects/'
+if git ls-files src include | grep -vE '^src/platform/' | xargs grep -nE "$wire"; then
+  echo "a name of the platform's wire outside platform/"
+  exit 1
+fi
+if git ls-files src apps include platform | xargs grep -nE 'io_uring|shm_open|\bfork\(|execv|posix_spawn|std::system\('; then
   echo "ruled out in the product"
   exit 1
 fi
 
 cmake --preset release >/dev/null
-mapfile -t units < <(git ls-files 'src/*.cpp' 'apps/*.cpp' 'testing/*.cpp' 'tests/*.cpp' 'bench/*.cpp')
+mapfile -t units < <(git ls-files 'src/*.cpp' 'platform/*.cpp' 'apps/*.cpp' 'testing/*.cpp' 'tests/*.cpp' 'bench/*.cpp')
 printf '%s\n' "${units[@]}" |
   xargs -P "$(nproc)" -n 1 clang-tidy -p build/release --quiet 2>/dev/null
 echo "lint clean"
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -29,6 +29,11 @@
   rm -f "$log"
 }
 
+echo "== the users' platform builds the program by deploy/system.toml"
+build_line=$(sed -nE 's/^build = "(.*)"$/\1/p' deploy/system.toml)
+bash -c "$build_line" >/dev/null
+target/guavaline-entry --version
+
 for preset in $presets; do
   cmake --preset "$preset" >/dev/null
   cmake --build --preset "$preset" | tail -n 1
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -27,6 +27,8 @@
 {
   ObjectView mView;
   StoreAccess mAccess;
+  /// Another entry has changes that are too large to pass on.
+  bool mBehind = false;
 };
 
 /// A run that ended with its connection.
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -196,6 +196,7 @@
   const auto from = view.mRevision;
   const auto changes = TakeListing(view, all, revision);
   Confirm(view, now);
+  aEntry.mFollows[aKind].mBehind = false;
   ApplyChanges(aEntry, aKind, changes, now);
   if (!first) {
     PushChanges(aEntry, aKind, from, changes);
@@ -219,6 +220,7 @@
   if (reply.mStatus == StoreStatus::Ok) {
     const auto from = view.mRevision;
     const auto changes = TakeChanges(view, reply.mChanges, reply.mRevision);
+    aEntry.mFollows[aKind].mBehind = false;
     Confirm(view, now);
     ApplyChanges(aEntry, aKind, changes, now);
     PushChanges(aEntry, aKind, from, changes);
@@ -231,7 +233,7 @@
   const auto& state = aEntry.mFollows[aKind];
   const bool watches =
     IsWatcher(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, aNow));
-  return state.mView.mListed &&
+  return state.mView.mListed && !state.mBehind &&
          HearsEnough(state.mAccess, TimesFor(aEntry, aKind),
                      state.mView.mConfirmed, watches, aNow);
 }
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr Millis kCallTimeout{ 1'000 };
+/// Larger changes are fetched from the store, whose link is wider than those
+/// of entries.
+constexpr std::size_t kMostPassedOn = 32'768;
 /// Ages above this are told as this.
 constexpr Millis kMostAge{ 600'000 };
 
@@ -30,7 +33,14 @@
   ViewMessage out;
   out.mView = NewsOf(aKind, aView, Clock::now());
   out.mFrom = aFrom;
-  out.mWhole = true;
+  std::size_t bytes = 0;
+  for (const auto& it : aChanges) {
+    bytes += it.mName.size() + it.mSpec.size();
+  }
+  out.mWhole = bytes <= kMostPassedOn;
+  if (!out.mWhole) {
+    return out;
+  }
   for (const auto& it : aChanges) {
     out.mNames.push_back(it.mName);
     out.mSpecs.push_back(it.mRemoved ? std::string() : it.mSpec);
@@ -42,7 +52,12 @@
 /// Takes in another entry's changes, if they join on to the own view.
 void TakeMessage(Entry& aEntry, const ViewMessage& aMessage)
 {
-  auto& view = aEntry.mFollows[aMessage.mView.mKind].mView;
+  auto& state = aEntry.mFollows[aMessage.mView.mKind];
+  auto& view = state.mView;
+  if (!aMessage.mWhole && aMessage.mView.mRevision > view.mRevision) {
+    state.mBehind = true;
+    return;
+  }
   const auto n = aMessage.mNames.size();
   if (!aMessage.mWhole || !view.mListed || view.mRevision < aMessage.mFrom ||
       aMessage.mSpecs.size() != n || aMessage.mRevisions.size() != n) {
--- /dev/null
+++ b/tests/unit/relay_test.cpp
@@ -0,0 +1,109 @@
+#include "entry/messages.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace guavaline;
+using namespace guavaline::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An entry whose view of entries' records stands at revision 10.
+struct Bed
+{
+  boost::asio::io_context mContext{ 1 };
+  HttpClient mStoreHttp{ mContext.get_executor() };
+  Entry mEntry;
+
+  explicit Bed(const std::string& aName)
+    : mEntry(mContext, MakeSettings(aName), mStoreHttp, MakeAdapter())
+  {
+    auto& view = mEntry.mFollows[ObjectKind::Entries].mView;
+    TakeListing(view, {}, 10);
+    Confirm(view, Clock::now());
+  }
+
+  static EntrySettings MakeSettings(const std::string& aName)
+  {
+    EntrySettings out;
+    out.mName = aName;
+    return out;
+  }
+
+  static PlatformAdapter MakeAdapter()
+  {
+    PlatformAdapter out;
+    out.mReadEntry = [](const ObjectChange& a) {
+      EntryRecord record;
+      record.mName = a.mName;
+      return std::optional<EntryRecord>(record);
+    };
+    return out;
+  }
+
+  FollowState& State() { return mEntry.mFollows[ObjectKind::Entries]; }
+
+  void Change(const std::string& aName, std::uint64_t aRevision,
+              std::size_t aBytes)
+  {
+    const ObjectChange change{ aName, aRevision, false,
+                               std::string(aBytes, 'x') };
+    TakeChanges(State().mView, { change }, aRevision);
+  }
+
+  std::string Answer(std::uint64_t aFrom)
+  {
+    const ViewQuestion question{ ObjectKind::Entries, aFrom };
+    return AnswerPull(mEntry, ToJson(question));
+  }
+};
+
+} // namespace
+
+Test(relay, changes_are_passed_on)
+{
+  Bed source("e1");
+  Bed follower("e2");
+  source.Change("e7", 12, 100);
+  TakePush(follower.mEntry, source.Answer(10));
+  cr_assert_eq(follower.State().mView.mRevision, 12U);
+  cr_assert_eq(follower.mEntry.mRoster.mOthers.count("e7"), 1U);
+  cr_assert_not(follower.State().mBehind);
+}
+
+Test(relay, a_change_that_is_too_large_sends_the_follower_to_the_store)
+{
+  Bed source("e1");
+  Bed follower("e2");
+  source.Change("e7", 12, 400'000);
+  const auto answer = source.Answer(10);
+  cr_assert_lt(answer.size(), 1'000U);
+  TakePush(follower.mEntry, answer);
+  cr_assert_eq(follower.State().mView.mRevision, 10U);
+  cr_assert(follower.State().mBehind);
+}
+
+Test(relay, changes_that_do_not_join_on_are_not_taken)
+{
+  Bed source("e1");
+  Bed follower("e2");
+  source.Change("e7", 12, 100);
+  source.Change("e8", 14, 100);
+  TakePush(follower.mEntry, source.Answer(13));
+  cr_assert_eq(follower.State().mView.mRevision, 10U);
+}
+
+Test(relay, a_peer_at_the_same_revision_confirms_the_view)
+{
+  Bed first("e1");
+  Bed second("e2");
+  const auto now = Clock::now() + 10s;
+  Confirm(first.State().mView, now);
+  cr_assert(
+    HearViews(second.mEntry, TellViews(first.mEntry, now), now).empty());
+  cr_assert_eq(second.State().mView.mConfirmed, now);
+  first.Change("e7", 12, 10);
+  const auto newer =
+    HearViews(second.mEntry, TellViews(first.mEntry, now), now);
+  cr_assert_eq(newer.size(), 1U);
+}
