Keep entries' records current; a caller that leaves teaches nothing of targets

Ruled out: (1) heartbeats alone; they need the key. (2) targets' own breaks, which come as end of stream or reset. Change: records are followed as closely as routes; a push after a gap sends the follower to the store; an entry whose record is gone writes it again; cancelled exchanges are marked.

--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -74,6 +74,7 @@
   HttpServer mLookupServer;
   HttpServer mMetricsServer;
   PeerServer mPeerServer;
+  bool mRecordWritten = false;        ///< The own record is in the store.
   std::optional<TimePoint> mStopping; ///< When SIGTERM came.
 };
 
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -15,8 +15,9 @@
 constexpr Millis kGatherTime{ 300 };
 /// How often an entry that hears from others looks at its view's age.
 constexpr Millis kAgeCheck{ 100 };
-/// Entries' records are joined by heartbeats and may be this old.
-constexpr Millis kEntriesBound{ 14'000 };
+/// Calls between entries need current records: their keys change with each
+/// start, and after a start of all of them nobody can be heard without.
+constexpr Millis kEntriesBound{ 3'000 };
 
 FollowTimes TimesFor(const Entry& aEntry, ObjectKind aKind)
 {
@@ -117,6 +118,9 @@
 {
   if (aChange.mRemoved) {
     TakeRecordRemoval(aEntry.mRoster, aChange.mName);
+    // Others may have taken this entry for dead while it could not be heard.
+    aEntry.mRecordWritten =
+      aEntry.mRecordWritten && aChange.mName != aEntry.mSettings.mName;
   } else if (const auto record = aEntry.mPlatform.mReadEntry(aChange)) {
     TakeRecord(aEntry.mRoster, *record, aNow);
   } else {
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -325,6 +325,12 @@
                 *result.mConnectTime);
   }
   SendOutcome out;
+  if (result.mCancelled) {
+    // The caller left, which says nothing of the target.
+    out.mWhat = "caller_left";
+    ++aPassage.mRuns;
+    co_return out;
+  }
   if (!result.mResponse) {
     LearnFailure(aEntry, aPassage, *target, result, started, now);
     out.mNotRun = !result.mMayHaveReached;
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -113,11 +113,10 @@
 
 asio::awaitable<void> KeepRecords(Entry& aEntry)
 {
-  bool written = false;
   while (!aEntry.mStopping) {
-    if (!written) {
-      written = co_await aEntry.mPlatform.mWriteEntry(aEntry.mRoster.mSelf) ==
-                StoreStatus::Ok;
+    if (!aEntry.mRecordWritten) {
+      aEntry.mRecordWritten = co_await aEntry.mPlatform.mWriteEntry(
+                                aEntry.mRoster.mSelf) == StoreStatus::Ok;
       co_await Pause(aEntry, kRecordRetry);
       continue;
     }
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -54,7 +54,8 @@
 {
   auto& state = aEntry.mFollows[aMessage.mView.mKind];
   auto& view = state.mView;
-  if (!aMessage.mWhole && aMessage.mView.mRevision > view.mRevision) {
+  const bool joins = aMessage.mWhole && view.mRevision >= aMessage.mFrom;
+  if (!joins && aMessage.mView.mRevision > view.mRevision) {
     state.mBehind = true;
     return;
   }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -227,6 +227,7 @@
   if (ec) {
     aResult.mConnectFailed = true;
     aResult.mTimedOut = ec == beast::error::timeout;
+    aResult.mCancelled = ec == asio::error::operation_aborted;
     aResult.mError = { "connect", aEndpoint.Text(), ec.message() };
     co_return nullptr;
   }
@@ -388,6 +389,7 @@
     if (sending->mError) {
       result.mMayHaveReached = sending->mSent > 0;
       result.mTimedOut = sending->mError == beast::error::timeout;
+      result.mCancelled = sending->mError == asio::error::operation_aborted;
       result.mError = ErrorOf("send", aEndpoint, sending->mError);
       co_return result;
     }
@@ -399,6 +401,7 @@
   if (ec) {
     const bool unsent = sending->mDone && sending->mError;
     result.mTimedOut = ec == beast::error::timeout;
+    result.mCancelled = ec == asio::error::operation_aborted;
     result.mError = ErrorOf(unsent ? "send" : "receive", aEndpoint,
                             unsent ? sending->mError : ec);
     co_return result;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -52,7 +52,8 @@
   bool mMayHaveReached = false;
   bool mTimedOut = false;
   bool mConnectFailed = false;
-  bool mReused = false; ///< A kept connection was used.
+  bool mCancelled = false; ///< By this side, such as when a caller left.
+  bool mReused = false;    ///< A kept connection was used.
   /// Time to open the connection; nothing where it was kept.
   std::optional<std::chrono::microseconds> mConnectTime;
 };
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -2,8 +2,11 @@
 
 #include "scripted_server.hpp"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <criterion/criterion.h>
 
@@ -300,3 +303,47 @@
     cr_assert_eq(bed.Send("2000", "/x/good").mStatus, 502U);
   }
 }
+
+namespace {
+
+asio::awaitable<void> SendOne(Entry& aEntry)
+{
+  HttpRequest request;
+  request.mTarget = "/x/1";
+  request.mArrived = Clock::now();
+  request.mHeaders = { { "Host", "a.example" }, { "Id", "q1" } };
+  co_await ForwardRequest(aEntry, std::move(request));
+}
+
+/// Sends a request whose caller leaves while the target is at work.
+/// @returns true where the request ended with its caller
+bool SendAndLeave(Bed& aBed)
+{
+  bool ended = false;
+  asio::cancellation_signal leave;
+  asio::co_spawn(
+    aBed.mContext, SendOne(aBed.mEntry),
+    asio::bind_cancellation_slot(leave.slot(), [&](const std::exception_ptr&) {
+      ended = true;
+      aBed.mContext.stop();
+    }));
+  asio::steady_timer timer(aBed.mContext, 50ms);
+  timer.async_wait([&](const boost::system::error_code&) {
+    leave.emit(asio::cancellation_type::all);
+  });
+  aBed.mContext.run();
+  return ended;
+}
+
+} // namespace
+
+Test(forward, a_caller_that_leaves_says_nothing_of_the_target)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add([](int, const std::string&) -> ScriptedAnswer { return {}; });
+  cr_assert(SendAndLeave(bed));
+  const auto& load = bed.mEntry.mRegistry.mTargets.at("t1")->mLoad;
+  cr_assert_eq(load.mFailing, 0);
+  cr_assert_eq(load.mOwn, 0U);
+  cr_assert(bed.mEntry.mBroken.empty());
+}
