Soak the real entry program under faults from outside; explain a request from logs

Change: testing/soak plays seeded faults on guavaline-entry processes: loopback proxies on every path to callers, targets and the store (delay, reset, one-way cut, silence, cut off), signals in series and overlapping, a store that is out, slow, loses answers or its history, targets that crash, drain, turn slow and come back with another service at their address, changes of the configuration and evacuations. 'guavaline explain ID LOG...' tells what was decided about a request and what its entry believed; request_ended now names revision and age of the view. Options weighed: a soak of guavalined (its failure tests do that already), a script (a second copy of checker and stand-ins).

--- a/apps/guavaline.cpp
+++ b/apps/guavaline.cpp
@@ -28,6 +28,7 @@
   std::string mPlace;
   std::string mBy;
   std::string mUntil;
+  std::vector<std::string> mLogs;
 };
 
 using Command = std::function<leaf::result<ExitCode>()>;
@@ -214,6 +215,17 @@
     aCommand = [&] { return CheckCommand(aArguments.mFile, std::cout); };
   });
 
+  auto* explain = aApp.add_subcommand(
+    "explain", "Tell from entries' logs why a request ended as it did");
+  explain->add_option("request", aArguments.mName, "Request id")->required();
+  explain->add_option("logs", aArguments.mLogs, "Log files of entries")
+    ->required();
+  explain->callback([&] {
+    aCommand = [&] {
+      return ExplainCommand(aArguments.mName, aArguments.mLogs, std::cout);
+    };
+  });
+
   auto* settings = aApp.add_subcommand(
     "settings", "Write one settings file for each entry host");
   settings->add_option("file", aArguments.mFile, "Configuration (YAML)")
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -44,6 +44,22 @@
   jobs=3
   if [ "$preset" = sanitize ]; then jobs=2; fi
   run_suite "build/$preset/tests/failure_tests" "-j$jobs"
+  echo "== fault soak ($preset)"
+  while read -r seed why; do
+    case $seed in '' | '#'*) continue ;; esac
+    log=$(mktemp)
+    if ! "build/$preset/testing/guavaline-soak" --seed "$seed" --trouble 8 \
+         >"$log" 2>&1; then
+      if grep -q "^test: soak seed $seed\$" KNOWN-RED.txt; then
+        echo "known red, passed over: soak seed $seed"
+      else
+        echo "FAILED: soak seed $seed ($preset)"
+        failed=1
+      fi
+    fi
+    grep -E '^(violation: |seed )' "$log" || tail -n 5 "$log"
+    rm -f "$log"
+  done <tests/soak_seeds.txt
 done
 echo "== known red"
 grep -E '^test: ' KNOWN-RED.txt || echo "none"
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -4,6 +4,7 @@
 
 #include <guavaline/core/hash.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr double kMsPerSecond = 1'000;
+/// Ages above this are logged as this.
+constexpr Millis kMostAge{ 600'000 };
 
 std::string Text(Millis aTime)
 {
@@ -54,6 +57,9 @@
     std::chrono::duration_cast<std::chrono::microseconds>(took));
   aEntry.mMetrics.Count("requests", "route=\"" + aPassage.mRoute.mName +
                                       "\",reason=\"" + aReason + "\"");
+  const auto& view = aEntry.mFollows[ObjectKind::Targets].mView;
+  const auto viewAge = std::chrono::duration_cast<Millis>(
+    aNow - std::max(view.mConfirmed, aPassage.mArrived - kMostAge));
   const bool good = aStatus < 400;
   const auto& choice = aPassage.mChoice;
   const std::string target =
@@ -75,7 +81,9 @@
                { "took_ms", Text(std::chrono::duration_cast<Millis>(took)) },
                { "left_ms", Text(std::chrono::duration_cast<Millis>(
                               aPassage.mDeadline - aNow)) },
-               { "configuration", std::to_string(aPassage.mVersion) } });
+               { "configuration", std::to_string(aPassage.mVersion) },
+               { "view_revision", std::to_string(view.mRevision) },
+               { "view_age_ms", Text(viewAge) } });
 }
 
 } // namespace guavaline::detail
--- a/src/operator/commands.hpp
+++ b/src/operator/commands.hpp
@@ -60,4 +60,9 @@
                                           const std::string& aName,
                                           std::ostream& aOut);
 
+/// Tells from logs why a request ended as it did.
+leaf::result<ExitCode> ExplainCommand(const std::string& aRequest,
+                                      const std::vector<std::string>& aPaths,
+                                      std::ostream& aOut);
+
 } // namespace guavaline::detail
--- /dev/null
+++ b/testing/soak/checks.cpp
@@ -0,0 +1,203 @@
+#include "soak/checks.hpp"
+
+#include "history/checker.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace guavaline::testing {
+namespace {
+
+using Lines = std::vector<std::string>;
+
+std::int64_t Micros(Millis aTime)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aTime).count();
+}
+
+std::string At(const Event& aEvent)
+{
+  return aEvent.mIdentity + " via " + aEvent.mPlace + " on " + aEvent.mPeer +
+         " at " + std::to_string(aEvent.mMicros) + " us";
+}
+
+/// The sending of each request, by identity.
+std::map<std::string, const Event*> SentBy(const std::vector<Event>& aEvents)
+{
+  std::map<std::string, const Event*> out;
+  for (const auto& it : aEvents) {
+    if (it.mKind == EventKind::CallSent) {
+      out[it.mIdentity] = &it;
+    }
+  }
+  return out;
+}
+
+/// What must be well for a run to count: its entry, which must not have been
+/// restarted either, its target, and the store.
+std::vector<std::string> ServedBy(const Event& aRun)
+{
+  return { aRun.mPlace, StopOf(aRun.mPlace), aRun.mPeer, "store" };
+}
+
+/// Runs of requests that no caller sent, or sent otherwise.
+Lines CheckAsked(const SoakHistory& aHistory)
+{
+  Lines out;
+  const auto sent = SentBy(aHistory.mEvents);
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind != EventKind::RunStarted) {
+      continue;
+    }
+    const auto by = sent.find(it.mIdentity);
+    if (by == sent.end() || by->second->mDigest != it.mDigest ||
+        by->second->mClass != it.mClass) {
+      out.push_back("unasked: " + At(it));
+    }
+  }
+  return out;
+}
+
+/// New work at targets that had announced that they leave.
+Lines CheckDrain(const SoakHistory& aHistory)
+{
+  Lines out;
+  std::map<std::string, std::int64_t> leaving;
+  const auto bound = Micros(aHistory.mBounds.mDrain);
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind == EventKind::TargetLeaving) {
+      leaving.emplace(it.mPeer, it.mMicros);
+    }
+    const auto left = leaving.find(it.mPeer);
+    if (it.mKind == EventKind::RunStarted && left != leaving.end() &&
+        it.mMicros > left->second + bound &&
+        IsInTouch(aHistory, ServedBy(it), left->second, it.mMicros)) {
+      out.push_back("new work to a leaving target: " + At(it));
+    }
+  }
+  return out;
+}
+
+/// Reads that ran at a service that only an older configuration names.
+Lines CheckRouting(const SoakHistory& aHistory)
+{
+  Lines out;
+  std::vector<const Event*> accepted;
+  const auto sent = SentBy(aHistory.mEvents);
+  const auto bound = Micros(aHistory.mBounds.mRouting);
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind == EventKind::ConfigurationAccepted) {
+      accepted.push_back(&it);
+    }
+    const auto by = sent.find(it.mIdentity);
+    if (it.mKind != EventKind::RunStarted || it.mClass != "GET" ||
+        by == sent.end()) {
+      continue;
+    }
+    // The newest one that must be in force, and all after it.
+    bool allowed = false;
+    std::int64_t since = 0;
+    for (auto at = accepted.rbegin(); at != accepted.rend(); ++at) {
+      allowed = allowed || (*at)->mService == it.mService;
+      since = (*at)->mMicros;
+      if (since + bound < by->second->mMicros) {
+        break;
+      }
+    }
+    if (!allowed && !accepted.empty() &&
+        IsInTouch(aHistory, ServedBy(it), since, it.mMicros)) {
+      out.push_back("old configuration: " + At(it));
+    }
+  }
+  return out;
+}
+
+/// Requests that a planned stop cut although a target was at work on them.
+Lines CheckStops(const SoakHistory& aHistory)
+{
+  Lines out;
+  const auto sent = SentBy(aHistory.mEvents);
+  std::map<std::string, const Event*> runs;
+  std::map<std::string, std::int64_t> stops;
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind == EventKind::RunStarted) {
+      runs[it.mIdentity] = &it;
+    } else if (it.mKind == EventKind::StopPlanned) {
+      stops[it.mPeer] = it.mMicros;
+    }
+    const auto run = runs.find(it.mIdentity);
+    const auto by = sent.find(it.mIdentity);
+    const auto stop = stops.find(it.mPlace);
+    if (it.mKind != EventKind::CallFailed || run == runs.end() ||
+        by == sent.end() || stop == stops.end() || stop->second > it.mMicros ||
+        it.mOutcome.starts_with("timeout")) {
+      continue;
+    }
+    if (IsInTouch(aHistory, { it.mPlace, run->second->mPeer },
+                  by->second->mMicros, it.mMicros)) {
+      out.push_back("cut by a planned stop: " + At(*run->second) + ": " +
+                    it.mOutcome);
+    }
+  }
+  return out;
+}
+
+/// Service after everything was well again for the time to recover.
+Lines CheckRecovery(const SoakHistory& aHistory)
+{
+  const auto from = aHistory.mCalmFrom + Micros(aHistory.mBounds.mRecover);
+  std::map<std::string, bool> served;
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind == EventKind::CallSent && it.mMicros >= from) {
+      served[it.mIdentity] = false;
+    } else if (it.mKind == EventKind::CallAnswered && it.mRan == "yes" &&
+               served.count(it.mIdentity) > 0) {
+      served[it.mIdentity] = true;
+    }
+  }
+  const auto n = static_cast<double>(std::count_if(
+    served.begin(), served.end(), [](const auto& a) { return a.second; }));
+  const auto all = static_cast<double>(served.size());
+  if (all == 0 || n < all * aHistory.mBounds.mServedAfterwards) {
+    return { "no recovery: " + std::to_string(n) + " of " +
+             std::to_string(all) + " served" };
+  }
+  return {};
+}
+
+} // namespace
+
+std::string StopOf(const std::string& aEntry)
+{
+  return aEntry + "/stop";
+}
+
+bool IsInTouch(const SoakHistory& aHistory,
+               const std::vector<std::string>& aNames, std::int64_t aFrom,
+               std::int64_t aTo)
+{
+  const auto from = aFrom - Micros(aHistory.mBounds.mInTouch);
+  return std::none_of(
+    aHistory.mImpairments.begin(), aHistory.mImpairments.end(),
+    [&](const Impairment& a) {
+      const bool named =
+        a.mWhat == "all" ||
+        std::find(aNames.begin(), aNames.end(), a.mWhat) != aNames.end();
+      return named && a.mFrom <= aTo && (a.mTo == 0 || a.mTo >= from);
+    });
+}
+
+Lines CheckSoak(const SoakHistory& aHistory)
+{
+  Lines out;
+  for (const auto& lines :
+       { CheckAtMostOnce(aHistory.mEvents), CheckTruth(aHistory.mEvents),
+         CheckOwnAnswers(aHistory.mEvents), CheckAsked(aHistory),
+         CheckDrain(aHistory), CheckRouting(aHistory), CheckStops(aHistory),
+         CheckRecovery(aHistory) }) {
+    out.insert(out.end(), lines.begin(), lines.end());
+  }
+  return out;
+}
+
+} // namespace guavaline::testing
--- /dev/null
+++ b/testing/soak/proxy.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+/// Loopback proxy that harms the connections through it: delays, resets,
+/// cuts one way, silence.
+
+#include "http/client.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <set>
+
+namespace guavaline::testing {
+
+/// What happens to bytes that come from now on.
+struct ProxyFaults
+{
+  Millis mDelay{ 0 };         ///< Of each piece, either way.
+  bool mDropToServer = false; ///< Bytes of callers are lost.
+  bool mDropToCaller = false; ///< Bytes of the server are lost.
+  bool mRefuse = false;       ///< New connections are reset.
+};
+
+class ProxyConnection;
+
+class SoakProxy
+{
+public:
+  SoakProxy(boost::asio::io_context& aContext, detail::Endpoint aServer);
+  ~SoakProxy();
+  SoakProxy(const SoakProxy&) = delete;
+  SoakProxy& operator=(const SoakProxy&) = delete;
+  SoakProxy(SoakProxy&&) = delete;
+  SoakProxy& operator=(SoakProxy&&) = delete;
+
+  /// @returns an empty text, or the reason why it cannot listen
+  [[nodiscard]] std::string Listen(const detail::Endpoint& aWhere);
+  void SetFaults(const ProxyFaults& aFaults) { mFaults = aFaults; }
+  /// Ends everything.
+  void Close();
+  /// Resets the open connections.
+  void ResetAll();
+  /// Open connections carry nothing any more, without a sign; new ones work.
+  void SilenceAll();
+
+private:
+  friend class ProxyConnection;
+
+  boost::asio::awaitable<void> Accept();
+
+  boost::asio::io_context& mContext;
+  detail::Endpoint mServer;
+  boost::asio::ip::tcp::acceptor mAcceptor;
+  ProxyFaults mFaults;
+  std::set<ProxyConnection*> mConnections;
+};
+
+} // namespace guavaline::testing
--- /dev/null
+++ b/testing/soak/world.cpp
@@ -0,0 +1,442 @@
+#include "soak/world.hpp"
+
+#include <guavaline/core/hash.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/process/child.hpp>
+#include <boost/process/extend.hpp>
+#include <boost/process/handles.hpp>
+#include <boost/process/io.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <sys/prctl.h>
+#include <unistd.h>
+
+namespace guavaline::testing {
+
+namespace json = boost::json;
+namespace process = boost::process;
+
+namespace {
+
+constexpr std::uint16_t kFrontPort = 8161;
+constexpr std::uint16_t kFrontProxyPort = 18'161;
+constexpr std::uint16_t kStoreProxyPort = 18'169;
+constexpr std::uint16_t kLookupPort = 8164;
+constexpr std::uint16_t kReadyPort = 8167;
+constexpr std::uint16_t kTargetPort = 9'000;
+constexpr std::uint16_t kTargetProxyPort = 19'000;
+constexpr std::uint16_t kStorePort = 8169;
+constexpr unsigned kStoreHost = 254;
+constexpr unsigned kFirstTargetHost = 100;
+constexpr Millis kEndPoll{ 20 };
+constexpr Millis kSettle{ 1'000 };
+const char* const kServices[] = { "alpha", "beta" };
+
+json::object Resource(const char* aType, const std::string& aName,
+                      json::object aSpec)
+{
+  return { { "resource_type", aType },
+           { "metadata", json::object{ { "name", aName } } },
+           { "spec", std::move(aSpec) } };
+}
+
+json::object Route(const std::string& aName, const char* aKind,
+                   const std::string& aService)
+{
+  return Resource("routes", aName,
+                  { { "host", kSoakHost },
+                    { "path_prefix", "/" + aName + "/" },
+                    { "type", aKind },
+                    { "timeout", "2000ms" },
+                    { "target_latency", "300ms" },
+                    { "priority", 1 },
+                    { "service", aService },
+                    { "max_attempts", 2 },
+                    { "sticky", true },
+                    { "allowed_regions", json::array{} } });
+}
+
+json::object MakeConfiguration(std::uint64_t aVersion,
+                               const std::string& aReadsAt)
+{
+  json::array resources{ Route("read", "idempotent", aReadsAt),
+                         Route("confirm", "non_idempotent", "alpha"),
+                         Route("upload", "upload", "beta") };
+  for (const auto* it : kServices) {
+    resources.push_back(Resource("services", it,
+                                 { { "health_path", "/health" },
+                                   { "max_connections", 390 },
+                                   { "cold_start", "1s" },
+                                   { "cold_per_s", 50.0 } }));
+  }
+  resources.push_back(Resource("limits", "",
+                               { { "max_header_bytes", 16384 },
+                                 { "max_body_bytes", 1'000'000 },
+                                 { "header_timeout", "3000ms" },
+                                 { "idle_timeout", "60s" } }));
+  char version[9] = {};
+  std::snprintf(version, sizeof version, "%08x",
+                static_cast<unsigned>(aVersion));
+  return { { "version", version }, { "resources", std::move(resources) } };
+}
+
+const char* ReadsAt(std::uint64_t aVersion)
+{
+  return kServices[aVersion % std::size(kServices)];
+}
+
+} // namespace
+
+/// A running guavaline-entry. It ends with the soak, however that ends, and
+/// must not inherit the stand-ins' sockets.
+class EntryChild
+{
+public:
+  EntryChild(const std::string& aProgram, const std::string& aSettings,
+             const std::string& aLog)
+    : mChild(
+        aProgram, "--settings", aSettings, process::limit_handles,
+        process::std_out > aLog, process::std_err > process::null,
+        process::extend::on_exec_setup = [](auto&) {
+          ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        })
+  {
+  }
+  process::child mChild;
+};
+
+World::World(const WorldOptions& aOptions)
+  : mOptions(aOptions)
+  , mStore(mContext, aOptions.mSeed)
+{
+  std::filesystem::create_directories(mOptions.mDirectory);
+  mStoreAt = { Address(kStoreHost), kStorePort };
+  MakeEntries();
+  MakeTargets();
+}
+
+World::~World()
+{
+  Stop();
+}
+
+std::string World::Address(unsigned aHost) const
+{
+  // Each process that soaks has loopback addresses of its own.
+  constexpr unsigned kFirstNet = 192;
+  constexpr unsigned kNets = 60;
+  constexpr unsigned kByte = 256;
+  const auto pid = static_cast<unsigned>(::getpid());
+  return "127." + std::to_string(kFirstNet + (pid / kByte) % kNets) + "." +
+         std::to_string(pid % kByte) + "." + std::to_string(aHost);
+}
+
+void World::MakeEntries()
+{
+  unsigned host = 0;
+  for (std::size_t n = 0; n < mOptions.mRegions; ++n) {
+    for (std::size_t k = 0; k < mOptions.mEntriesPerRegion; ++k) {
+      const auto address = Address(++host);
+      const auto region = "region" + std::to_string(n + 1);
+      mEntries.push_back({ "entry" + std::to_string(host),
+                           region,
+                           region + (k % 2 == 0 ? "-a" : "-b"),
+                           { address, kLookupPort },
+                           { address, kFrontPort },
+                           { address, kFrontProxyPort } });
+      mCallerPaths.push_back(
+        std::make_unique<SoakProxy>(mContext, mEntries.back().mFront));
+      mStorePaths.push_back(std::make_unique<SoakProxy>(mContext, mStoreAt));
+    }
+  }
+  mChildren.resize(mEntries.size());
+}
+
+void World::MakeTargets()
+{
+  unsigned host = kFirstTargetHost;
+  for (std::size_t n = 0; n < mOptions.mRegions; ++n) {
+    for (std::size_t k = 0; k < mOptions.mTargetsPerRegion; ++k) {
+      TargetPlace place;
+      place.mZone =
+        "region" + std::to_string(n + 1) + (k % 4 < 2 ? "-a" : "-b");
+      place.mListen = { Address(host), kTargetPort };
+      place.mProxyAt = { Address(host), kTargetProxyPort };
+      ++host;
+      place.mProxy = std::make_unique<SoakProxy>(mContext, place.mListen);
+      place.mTarget = std::make_unique<PlatformTarget>(
+        mContext,
+        PlatformTargetOptions{ "t" + std::to_string(mNextTarget),
+                               kServices[k % std::size(kServices)],
+                               place.mListen.mAddress, place.mListen.mPort },
+        mHistory, HashPair(mOptions.mSeed, mNextTarget));
+      place.mBorn = static_cast<std::int64_t>(mNextTarget++);
+      mTargets.push_back(std::move(place));
+    }
+  }
+}
+
+std::string World::ListenAll()
+{
+  if (auto problem = mStore.Listen(mStoreAt.mAddress, mStoreAt.mPort);
+      !problem.empty()) {
+    return problem;
+  }
+  for (std::size_t n = 0; n < mEntries.size(); ++n) {
+    const auto& address = mEntries[n].mFront.mAddress;
+    for (const auto& problem :
+         { mCallerPaths[n]->Listen(mEntries[n].mProxy),
+           mStorePaths[n]->Listen({ address, kStoreProxyPort }) }) {
+      if (!problem.empty()) {
+        return problem;
+      }
+    }
+  }
+  for (auto& it : mTargets) {
+    for (const auto& problem :
+         { it.mTarget->Start(), it.mProxy->Listen(it.mProxyAt) }) {
+      if (!problem.empty()) {
+        return problem;
+      }
+    }
+    Register(it, "ready");
+  }
+  return {};
+}
+
+std::string World::Start()
+{
+  if (auto problem = ListenAll(); !problem.empty()) {
+    return problem;
+  }
+  mStore.Put("config", "main", MakeConfiguration(mVersion, ReadsAt(mVersion)));
+  Event event;
+  event.mKind = EventKind::ConfigurationAccepted;
+  event.mService = ReadsAt(mVersion);
+  mHistory.Add(std::move(event));
+  mThread = std::thread([this] {
+    const auto work = boost::asio::make_work_guard(mContext);
+    mContext.run();
+  });
+  for (std::size_t n = 0; n < mEntries.size(); ++n) {
+    StartEntry(n);
+  }
+  return {};
+}
+
+void World::Stop()
+{
+  for (std::size_t n = 0; n < mChildren.size(); ++n) {
+    if (IsRunning(n)) {
+      Signal(n, SIGKILL);
+      mChildren[n]->mChild.wait();
+    }
+  }
+  if (!mThread.joinable()) {
+    return;
+  }
+  OnWorld([this] {
+    mStore.Close();
+    for (auto& it : mTargets) {
+      it.mTarget->Crash();
+      it.mProxy->Close();
+    }
+    for (std::size_t n = 0; n < mEntries.size(); ++n) {
+      mCallerPaths[n]->Close();
+      mStorePaths[n]->Close();
+    }
+  });
+  // Coroutines of cut connections refer to the stand-ins until they end.
+  std::this_thread::sleep_for(kSettle);
+  mContext.stop();
+  mThread.join();
+}
+
+void World::OnWorld(const std::function<void()>& aDo)
+{
+  std::promise<void> done;
+  boost::asio::post(mContext, [&] {
+    aDo();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::string World::WriteSettings(std::size_t aEntry) const
+{
+  const auto& it = mEntries[aEntry];
+  const auto& address = it.mFront.mAddress;
+  const auto path = mOptions.mDirectory + "/" + it.mName + ".conf";
+  std::ofstream out(path);
+  out << "node=" << it.mName << "\nzone=" << it.mZone
+      << "\nregion=" << it.mRegion << "\nip=" << address;
+  for (std::size_t n = 0; n < mOptions.mRegions; ++n) {
+    const auto region = "region" + std::to_string(n + 1);
+    for (const auto* zone : { "-a", "-b" }) {
+      out << "\nzones." << region << zone << "=" << region;
+    }
+  }
+  out << "\nlisten.front=" << it.mFront.Text() << "\nlisten.ready=" << address
+      << ":" << kReadyPort << "\nlisten.directory=" << it.mLookups.Text()
+      << "\ninternal_port_range=7720,7735\nplatform.address=" << address << ":"
+      << kStoreProxyPort << "\nlimits.max_fds=1024\nlimits.memory_mb=256\n";
+  return path;
+}
+
+void World::StartEntry(std::size_t aEntry)
+{
+  const auto path = WriteSettings(aEntry);
+  const auto log = mOptions.mDirectory + "/" + mEntries[aEntry].mName + "-" +
+                   std::to_string(NowMicros()) + ".log";
+  mChildren[aEntry] =
+    std::make_unique<EntryChild>(mOptions.mProgram, path, log);
+}
+
+bool World::IsRunning(std::size_t aEntry)
+{
+  return mChildren[aEntry] && mChildren[aEntry]->mChild.running();
+}
+
+void World::Signal(std::size_t aEntry, int aSignal)
+{
+  if (IsRunning(aEntry)) {
+    ::kill(mChildren[aEntry]->mChild.id(), aSignal);
+  }
+}
+
+bool World::AwaitEnd(std::size_t aEntry, Millis aBound)
+{
+  const auto end = Clock::now() + aBound;
+  while (IsRunning(aEntry) && Clock::now() < end) {
+    std::this_thread::sleep_for(kEndPoll);
+  }
+  return !IsRunning(aEntry);
+}
+
+void World::SetStore(const PlatformStoreFaults& aFaults)
+{
+  OnWorld([&] { mStore.SetFaults(aFaults); });
+}
+
+void World::DropHistory()
+{
+  OnWorld([&] { mStore.DropHistory(); });
+}
+
+void World::OnStorePath(std::size_t aEntry,
+                        const std::function<void(SoakProxy&)>& aDo)
+{
+  OnWorld([&] { aDo(*mStorePaths[aEntry]); });
+}
+
+void World::OnCallerPath(std::size_t aEntry,
+                         const std::function<void(SoakProxy&)>& aDo)
+{
+  OnWorld([&] { aDo(*mCallerPaths[aEntry]); });
+}
+
+void World::OnTargetPath(std::size_t aTarget,
+                         const std::function<void(SoakProxy&)>& aDo)
+{
+  OnWorld([&] { aDo(*mTargets[aTarget].mProxy); });
+}
+
+void World::Register(TargetPlace& aPlace, const char* aState)
+{
+  const auto& about = aPlace.mTarget->About();
+  mStore.Put(
+    "servers", about.mId,
+    json::object{ { "address", aPlace.mProxyAt.Text() },
+                  { "born", aPlace.mBorn },
+                  { "info", json::object{ { "service", about.mService },
+                                          { "version", "1" },
+                                          { "zone", aPlace.mZone },
+                                          { "slots", about.mSlots } } },
+                  { "status", json::object{ { "state", aState },
+                                            { "sequence", ++aPlace.mSequence },
+                                            { "cold_remaining", "0ms" } } } });
+}
+
+std::string World::TargetId(std::size_t aTarget)
+{
+  std::string out;
+  OnWorld([&] { out = mTargets[aTarget].mTarget->About().mId; });
+  return out;
+}
+
+void World::CrashTarget(std::size_t aTarget)
+{
+  OnWorld([&] { mTargets[aTarget].mTarget->Crash(); });
+}
+
+void World::ReplaceTarget(std::size_t aTarget)
+{
+  OnWorld([&] {
+    auto& place = mTargets[aTarget];
+    const auto& about = place.mTarget->About();
+    mStore.Remove("servers", about.mId);
+    // Its address may go to the other service.
+    const auto service = kServices[mNextTarget % std::size(kServices)];
+    place.mTarget->Become("t" + std::to_string(mNextTarget), service);
+    place.mBorn = static_cast<std::int64_t>(mNextTarget++);
+    if (const auto problem = place.mTarget->Start(); problem.empty()) {
+      Register(place, "ready");
+    } else {
+      std::printf("target cannot restart: %s\n", problem.c_str());
+    }
+  });
+}
+
+void World::DrainTarget(std::size_t aTarget)
+{
+  OnWorld([&] {
+    Register(mTargets[aTarget], "draining");
+    Event event;
+    event.mKind = EventKind::TargetLeaving;
+    event.mPeer = mTargets[aTarget].mTarget->About().mId;
+    mHistory.Add(std::move(event));
+  });
+}
+
+void World::SlowTarget(std::size_t aTarget, double aFactor)
+{
+  OnWorld([&] { mTargets[aTarget].mTarget->SetSlow(aFactor); });
+}
+
+void World::ChangeRouting()
+{
+  OnWorld([&] {
+    ++mVersion;
+    mStore.Put("config", "main",
+               MakeConfiguration(mVersion, ReadsAt(mVersion)));
+    Event event;
+    event.mKind = EventKind::ConfigurationAccepted;
+    event.mVersion = static_cast<std::int64_t>(mVersion);
+    event.mService = ReadsAt(mVersion);
+    mHistory.Add(std::move(event));
+  });
+}
+
+void World::Evacuate(const std::string& aZone, bool aEmptied)
+{
+  OnWorld([&] {
+    if (aEmptied) {
+      mStore.Put("evacuations", aZone, json::object{});
+    } else {
+      mStore.Remove("evacuations", aZone);
+    }
+  });
+}
+
+std::string World::ZoneOf(std::size_t aEntry) const
+{
+  return mEntries[aEntry].mZone;
+}
+
+} // namespace guavaline::testing
--- /dev/null
+++ b/testing/standin/platform_target.cpp
@@ -0,0 +1,111 @@
+#include "standin/platform_target.hpp"
+
+#include <guavaline/core/hash.hpp>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace guavaline::testing {
+
+namespace asio = boost::asio;
+using detail::FindHeader;
+using detail::HttpRequest;
+using detail::HttpResponse;
+
+/// Counts a run in and out; it ends as cancelled unless told otherwise.
+class PlatformRun
+{
+public:
+  PlatformRun(PlatformTarget& aTarget, const HttpRequest& aRequest)
+    : mTarget(aTarget)
+  {
+    mEvent.mKind = EventKind::RunStarted;
+    mEvent.mIdentity = FindHeader(aRequest.mHeaders, "X-Request-Id");
+    mEvent.mPlace = FindHeader(aRequest.mHeaders, kEntryHeader);
+    mEvent.mService = mTarget.mOptions.mService;
+    mEvent.mPeer = mTarget.mOptions.mId;
+    mEvent.mClass = aRequest.mMethod;
+    mEvent.mDigest = HexId(Hash(aRequest.mBody));
+    mEvent.mInFlight = ++mTarget.mInFlight;
+    mTarget.mHistory.Add(mEvent);
+    mEvent.mKind = EventKind::RunCancelled;
+  }
+  ~PlatformRun()
+  {
+    --mTarget.mInFlight;
+    mTarget.mHistory.Add(std::move(mEvent));
+  }
+  PlatformRun(const PlatformRun&) = delete;
+  PlatformRun& operator=(const PlatformRun&) = delete;
+  PlatformRun(PlatformRun&&) = delete;
+  PlatformRun& operator=(PlatformRun&&) = delete;
+
+  void Finish() noexcept { mEvent.mKind = EventKind::RunEnded; }
+  [[nodiscard]] const Event& About() const noexcept { return mEvent; }
+
+private:
+  PlatformTarget& mTarget;
+  Event mEvent;
+};
+
+PlatformTarget::PlatformTarget(asio::io_context& aContext,
+                               PlatformTargetOptions aOptions,
+                               History& aHistory, std::uint64_t aSeed)
+  : mContext(aContext)
+  , mOptions(std::move(aOptions))
+  , mHistory(aHistory)
+  , mRandom(aSeed)
+{
+}
+
+std::string PlatformTarget::Start()
+{
+  mServer = std::make_unique<detail::HttpServer>();
+  return mServer->Listen(
+    mContext, mOptions.mAddress, mOptions.mPort,
+    [this](HttpRequest a) { return Handle(std::move(a)); },
+    detail::HttpServerLimits{});
+}
+
+void PlatformTarget::Crash()
+{
+  mServer->Close();
+}
+
+void PlatformTarget::Become(std::string aId, std::string aService)
+{
+  mOptions.mId = std::move(aId);
+  mOptions.mService = std::move(aService);
+}
+
+asio::awaitable<HttpResponse> PlatformTarget::Handle(HttpRequest aRequest)
+{
+  HttpResponse out;
+  out.mHeaders = { { "X-Request-Id", std::string(FindHeader(aRequest.mHeaders,
+                                                            "X-Request-Id")) },
+                   { "Keep-Alive", "timeout=5" } };
+  if (FindHeader(aRequest.mHeaders, "X-Target-Instance") != mOptions.mId) {
+    out.mStatus = 421;
+    co_return out;
+  }
+  if (mInFlight >= 2 * mOptions.mSlots) {
+    out.mStatus = 503;
+    out.mHeaders.push_back({ "X-Not-Executed", "1" });
+    co_return out;
+  }
+  PlatformRun run(*this, aRequest);
+  std::exponential_distribution<double> spread(1 / mOptions.mMeanMs);
+  asio::steady_timer timer(
+    mContext, Millis(static_cast<std::int64_t>(spread(mRandom) * mSlow)));
+  co_await timer.async_wait(asio::use_awaitable);
+  run.Finish();
+  out.mHeaders.push_back({ "X-Server-Seal", mOptions.mId });
+  out.mHeaders.push_back(
+    { "X-Backend-Load", std::to_string(mInFlight - 1) + ",0," +
+                          std::to_string(mOptions.mSlots) });
+  out.mBody = run.About().mIdentity + " " + run.About().mDigest + " whole";
+  co_return out;
+}
+
+} // namespace guavaline::testing
--- /dev/null
+++ b/testing/standin/platform_target.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+/// Stand-in for a target as the platform's pages describe it: it runs only
+/// what is meant for it, says when it did not run a request, and marks its
+/// answers.
+
+#include "history/event.hpp"
+#include "http/server.hpp"
+
+#include <memory>
+#include <random>
+
+namespace guavaline::testing {
+
+/// Header by which soak callers name the entry that they sent to.
+inline constexpr const char* kEntryHeader = "X-Soak-Entry";
+
+struct PlatformTargetOptions
+{
+  std::string mId;
+  std::string mService;
+  std::string mAddress; ///< Where it listens.
+  std::uint16_t mPort = 0;
+  std::uint32_t mSlots = 3;
+  double mMeanMs = 30; ///< Of a run, exponentially spread.
+};
+
+class PlatformTarget
+{
+public:
+  PlatformTarget(boost::asio::io_context& aContext,
+                 PlatformTargetOptions aOptions, History& aHistory,
+                 std::uint64_t aSeed);
+
+  /// @returns an empty text, or the reason why it cannot listen
+  [[nodiscard]] std::string Start();
+  /// Closes the listener and every connection, as a crash does.
+  void Crash();
+  /// A crashed target comes back as another one at the same address.
+  void Become(std::string aId, std::string aService);
+  /// Makes runs longer.
+  void SetSlow(double aFactor) noexcept { mSlow = aFactor; }
+  [[nodiscard]] const PlatformTargetOptions& About() const noexcept
+  {
+    return mOptions;
+  }
+
+private:
+  friend class PlatformRun;
+
+  boost::asio::awaitable<detail::HttpResponse> Handle(
+    detail::HttpRequest aRequest);
+
+  boost::asio::io_context& mContext;
+  PlatformTargetOptions mOptions;
+  History& mHistory;
+  std::mt19937_64 mRandom;
+  std::unique_ptr<detail::HttpServer> mServer;
+  double mSlow = 1;
+  std::uint32_t mInFlight = 0;
+};
+
+} // namespace guavaline::testing
--- /dev/null
+++ b/tests/unit/soak_checks_test.cpp
@@ -0,0 +1,136 @@
+#include "soak/checks.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace guavaline;
+using namespace guavaline::testing;
+
+namespace {
+
+constexpr std::int64_t kSecond = 1'000'000;
+
+Event MakeEvent(std::int64_t aMicros, EventKind aKind, const char* aIdentity)
+{
+  Event out;
+  out.mMicros = aMicros;
+  out.mKind = aKind;
+  out.mIdentity = aIdentity;
+  out.mClass = "GET";
+  out.mPlace = "e1";
+  out.mPeer = "t1";
+  out.mService = "alpha";
+  out.mDigest = "d";
+  return out;
+}
+
+/// A calm run that recovers; tests add what goes wrong.
+SoakHistory MakeCalm()
+{
+  SoakHistory out;
+  auto accepted = MakeEvent(0, EventKind::ConfigurationAccepted, "");
+  accepted.mPeer.clear();
+  out.mEvents.push_back(accepted);
+  out.mEvents.push_back(MakeEvent(kSecond, EventKind::CallSent, "q1"));
+  out.mCalmFrom = 60 * kSecond;
+  auto late = MakeEvent(80 * kSecond, EventKind::CallSent, "late");
+  out.mEvents.push_back(late);
+  late.mKind = EventKind::CallAnswered;
+  late.mRan = "yes";
+  late.mStatus = 200;
+  out.mEvents.push_back(late);
+  return out;
+}
+
+std::size_t Broken(SoakHistory& aHistory)
+{
+  std::stable_sort(
+    aHistory.mEvents.begin(), aHistory.mEvents.end(),
+    [](const Event& a, const Event& b) { return a.mMicros < b.mMicros; });
+  return CheckSoak(aHistory).size();
+}
+
+} // namespace
+
+Test(soak_checks, a_calm_history_breaks_nothing)
+{
+  auto history = MakeCalm();
+  history.mEvents.push_back(
+    MakeEvent(kSecond + 1, EventKind::RunStarted, "q1"));
+  cr_assert_eq(Broken(history), 0U);
+}
+
+Test(soak_checks, a_run_that_nobody_asked_for_is_found)
+{
+  auto history = MakeCalm();
+  history.mEvents.push_back(MakeEvent(kSecond, EventKind::RunStarted, "q2"));
+  cr_assert_eq(Broken(history), 1U);
+  history = MakeCalm();
+  auto changed = MakeEvent(kSecond + 1, EventKind::RunStarted, "q1");
+  changed.mDigest = "other";
+  history.mEvents.push_back(changed);
+  cr_assert_eq(Broken(history), 1U);
+}
+
+Test(soak_checks, new_work_to_a_leaving_target_is_found_in_calm_only)
+{
+  auto history = MakeCalm();
+  auto leaving = MakeEvent(0, EventKind::TargetLeaving, "");
+  history.mEvents.push_back(leaving);
+  history.mEvents.push_back(
+    MakeEvent(3 * kSecond, EventKind::RunStarted, "q1"));
+  cr_assert_eq(Broken(history), 1U);
+  for (const char* it : { "e1", "t1", "store", "all", "e1/stop" }) {
+    history.mImpairments = { { it, kSecond, kSecond + 1 } };
+    cr_assert_eq(Broken(history), 0U, "%s", it);
+  }
+  history.mImpairments = { { "e2", kSecond, 0 } };
+  cr_assert_eq(Broken(history), 1U);
+}
+
+Test(soak_checks, a_run_by_an_old_configuration_is_found_after_its_bound)
+{
+  auto history = MakeCalm();
+  auto newer = MakeEvent(kSecond, EventKind::ConfigurationAccepted, "");
+  newer.mService = "beta";
+  newer.mPeer.clear();
+  history.mEvents.push_back(newer);
+  history.mEvents.push_back(MakeEvent(3 * kSecond, EventKind::CallSent, "q3"));
+  history.mEvents.push_back(
+    MakeEvent(3 * kSecond + 1, EventKind::RunStarted, "q3"));
+  cr_assert_eq(Broken(history), 0U);
+  history.mEvents.push_back(MakeEvent(4 * kSecond, EventKind::CallSent, "q4"));
+  history.mEvents.push_back(
+    MakeEvent(4 * kSecond + 1, EventKind::RunStarted, "q4"));
+  cr_assert_eq(Broken(history), 1U);
+}
+
+Test(soak_checks, a_planned_stop_that_cuts_a_run_is_found)
+{
+  auto history = MakeCalm();
+  auto stop = MakeEvent(kSecond + 2, EventKind::StopPlanned, "");
+  stop.mPeer = "e1";
+  history.mEvents.push_back(stop);
+  history.mEvents.push_back(
+    MakeEvent(kSecond + 1, EventKind::RunStarted, "q1"));
+  auto cut = MakeEvent(kSecond + 9, EventKind::CallFailed, "q1");
+  cut.mPeer.clear();
+  cut.mOutcome = "receive: Connection reset by peer";
+  history.mEvents.push_back(cut);
+  cr_assert_eq(Broken(history), 1U);
+  history.mImpairments = { { "t1", kSecond, kSecond + 5 } };
+  cr_assert_eq(Broken(history), 0U);
+}
+
+Test(soak_checks, a_deployment_that_does_not_serve_again_is_found)
+{
+  auto history = MakeCalm();
+  for (const char* it : { "a", "b", "c", "d" }) {
+    history.mEvents.push_back(MakeEvent(81 * kSecond, EventKind::CallSent, it));
+  }
+  cr_assert_eq(Broken(history), 1U);
+  history.mCalmFrom = 70 * kSecond;
+  // Nobody was served after the time to recover, as nobody asked.
+  cr_assert_eq(Broken(history), 1U);
+}
