Reload settings at SIGHUP and where they changed without a signal

Cause: settings held for the life of a process; a changed bound, limit or failure domain took effect at the next start only. Ruled out: inotify, which the platform does not offer. Change: src/entry/reload.cpp reads the file at SIGHUP and looks at it every 5 s; bounds, limits and domains are taken in at once, mistakes leave the settings in force and are told by field, what needs a restart is named in the log. Retry budgets never gain savings by a reload.

--- a/apps/guavaline_entry.cpp
+++ b/apps/guavaline_entry.cpp
@@ -48,6 +48,9 @@
   boost::asio::io_context context(1);
   detail::HttpClient storeHttp(context.get_executor());
   auto adapter = platform::MakeAdapter({ storeHttp, settings.mStore });
+  adapter.mReadSettings = [path, metricsPort](detail::EntrySettings& a) {
+    return platform::ReadSettings(path, metricsPort, a);
+  };
   detail::Entry entry(context, std::move(settings), std::move(adapter));
   return detail::RunEntry(context, entry);
 }
--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -97,6 +97,9 @@
 RegistryChange TakeRemoval(TargetRegistry& aRegistry, const std::string& aId,
                            TimePoint aNow);
 
+/// Sets which region each failure domain lies in.
+void SetDomains(TargetRegistry& aRegistry, DomainMap aDomains);
+
 /// Notes that the registry could not be reached until now.
 void NoteRegistryTrouble(TargetRegistry& aRegistry, TimePoint aNow) noexcept;
 
--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -4,9 +4,11 @@
 /// watches, the decoding of stored objects, and the names of headers. The
 /// platform's folder provides it.
 
+#include "entry/settings.hpp"
 #include "http/message.hpp"
 #include "platform/store_client.hpp"
 
+#include <guavaline/core/error.hpp>
 #include <guavaline/registry/registry.hpp>
 #include <guavaline/roster/roster.hpp>
 #include <guavaline/routing/routes.hpp>
@@ -66,6 +68,8 @@
   HeaderNames mHeaders;
   unsigned mWrongTargetStatus = 421; ///< Another target has the address.
 
+  /// Reads the settings anew.
+  std::function<Problems(EntrySettings&)> mReadSettings;
   std::function<Awaitable<ObjectReply>(ObjectKind, std::string aAfter)> mList;
   std::function<Awaitable<ObjectReply>(ObjectKind, std::uint64_t aFrom,
                                        Millis aWait)>
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -83,6 +83,17 @@
 /// force does not have.
 void ForgetGoneRoutes(Entry& aEntry);
 
+/// Takes in settings that may change while the process runs: bounds, limits
+/// and failure domains.
+/// @returns true where any of them changed
+bool TakeSettings(Entry& aEntry, const EntrySettings& aNew);
+
+/// Reads the settings anew at SIGHUP, and where they changed without it.
+boost::asio::awaitable<void> AwaitReload(Entry& aEntry);
+
+/// Gives a retry budget this entry's part of the bounds in force.
+void SetRetryBounds(const Entry& aEntry, RetryBudget& aBudget);
+
 /// Answers one caller's request.
 boost::asio::awaitable<HttpResponse> ForwardRequest(Entry& aEntry,
                                                     HttpRequest aRequest);
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -268,7 +268,6 @@
 asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind)
 {
   auto& access = aEntry.mFollows[aKind].mAccess;
-  const auto times = TimesFor(aEntry, aKind);
   bool listed = false;
   while (true) {
     if (MayListen(aEntry, aKind, Clock::now())) {
@@ -278,7 +277,8 @@
     if (!listed) {
       listed = co_await ListAll(aEntry, aKind);
     } else {
-      listed = co_await WatchOnce(aEntry, aKind, WatchWait(access, times));
+      listed = co_await WatchOnce(aEntry, aKind,
+                                  WatchWait(access, TimesFor(aEntry, aKind)));
     }
     if (access.mConnected) {
       co_await Pause(aEntry, listed ? kGatherTime : Millis(1));
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -36,12 +36,8 @@
 {
   const auto [it, added] = aEntry.mRetries.try_emplace(aService);
   if (added) {
-    const auto& bounds = aEntry.mSettings.mBounds;
-    auto& budget = it->second;
-    budget.mPerRequest = bounds.mRetryRatio * kRetryRatioPart;
-    budget.mMost = bounds.mRetrySlack * kRetrySlackPart /
-                   static_cast<double>(SharingEntries(aEntry.mRoster));
-    budget.mTokens = budget.mMost;
+    SetRetryBounds(aEntry, it->second);
+    it->second.mTokens = it->second.mMost;
   }
   return it->second;
 }
@@ -208,6 +204,15 @@
 
 } // namespace
 
+void SetRetryBounds(const Entry& aEntry, RetryBudget& aBudget)
+{
+  const auto& bounds = aEntry.mSettings.mBounds;
+  aBudget.mPerRequest = bounds.mRetryRatio * kRetryRatioPart;
+  aBudget.mMost = bounds.mRetrySlack * kRetrySlackPart /
+                  static_cast<double>(SharingEntries(aEntry.mRoster));
+  aBudget.mTokens = std::min(aBudget.mTokens, aBudget.mMost);
+}
+
 asio::awaitable<HttpResponse> ForwardRequest(Entry& aEntry,
                                              HttpRequest aRequest)
 {
--- /dev/null
+++ b/src/entry/reload.cpp
@@ -0,0 +1,115 @@
+/// Takes in changed settings while the process runs.
+
+#include "entry/entry.hpp"
+#include "entry/limits.hpp"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <csignal>
+
+namespace guavaline::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/// Settings may change without a signal; this often they are looked at.
+constexpr Millis kLookPeriod{ 5'000 };
+
+/// Which of the settings differ that hold for the life of a process.
+std::string FixedDifference(const EntrySettings& aOld,
+                            const EntrySettings& aNew)
+{
+  const std::pair<const char*, bool> fixed[] = {
+    { "name", aOld.mName == aNew.mName },
+    { "failure_domain", aOld.mFailureDomain == aNew.mFailureDomain &&
+                          aOld.mRegion == aNew.mRegion },
+    { "address",
+      aOld.mAddress == aNew.mAddress && aOld.mCallers == aNew.mCallers &&
+        aOld.mReady == aNew.mReady && aOld.mLookups == aNew.mLookups &&
+        aOld.mMetrics == aNew.mMetrics && aOld.mPeers == aNew.mPeers },
+    { "store", aOld.mStore == aNew.mStore },
+  };
+  std::string out;
+  for (const auto& [name, same] : fixed) {
+    if (!same) {
+      out += (out.empty() ? "" : ",") + std::string(name);
+    }
+  }
+  return out;
+}
+
+void Reload(Entry& aEntry, const char* aWhy)
+{
+  EntrySettings settings;
+  const auto problems = aEntry.mPlatform.mReadSettings(settings);
+  if (!problems.empty()) {
+    // The settings in force stay; all problems are told, once a change.
+    for (const auto& it : problems) {
+      Log(LogLevel::Error, "settings_refused",
+          { { "why", aWhy }, { "problem", it.Describe() } });
+    }
+    return;
+  }
+  const bool changed = TakeSettings(aEntry, settings);
+  Log(LogLevel::Info, "reloaded",
+      { { "why", aWhy },
+        { "changed", changed ? "yes" : "no" },
+        { "needs_restart", FixedDifference(aEntry.mSettings, settings) },
+        { "configuration", std::to_string(aEntry.mRouting.mVersion) } });
+}
+
+/// True where the settings on file read well and differ from those in force.
+bool HaveChanged(const Entry& aEntry)
+{
+  EntrySettings settings;
+  return aEntry.mPlatform.mReadSettings(settings).empty() &&
+         !(settings.mBounds == aEntry.mSettings.mBounds &&
+           settings.mLimits == aEntry.mSettings.mLimits &&
+           settings.mDomains == aEntry.mSettings.mDomains);
+}
+
+} // namespace
+
+bool TakeSettings(Entry& aEntry, const EntrySettings& aNew)
+{
+  auto& present = aEntry.mSettings;
+  if (present.mBounds == aNew.mBounds && present.mLimits == aNew.mLimits &&
+      present.mDomains == aNew.mDomains) {
+    return false;
+  }
+  present.mBounds = aNew.mBounds;
+  present.mLimits = aNew.mLimits;
+  present.mDomains = aNew.mDomains;
+  aEntry.mRegionShare.mMostShift = aNew.mBounds.mMostShift;
+  SetDomains(aEntry.mRegistry, aNew.mDomains);
+  for (auto& [service, budget] : aEntry.mRetries) {
+    SetRetryBounds(aEntry, budget);
+  }
+  aEntry.mCallerServer.SetLimits(
+    LimitsFor(aNew.mLimits, aEntry.mRouting.mLimits));
+  return true;
+}
+
+asio::awaitable<void> AwaitReload(Entry& aEntry)
+{
+  using namespace asio::experimental::awaitable_operators;
+  asio::signal_set signals(aEntry.mContext, SIGHUP);
+  asio::steady_timer timer(aEntry.mContext);
+  while (true) {
+    timer.expires_after(kLookPeriod);
+    const auto first = co_await (signals.async_wait(asio::use_awaitable) ||
+                                 timer.async_wait(asio::use_awaitable));
+    if (first.index() == 0) {
+      Reload(aEntry, "signal");
+    } else if (HaveChanged(aEntry)) {
+      Reload(aEntry, "file");
+    }
+  }
+}
+
+} // namespace guavaline::detail
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
+#include <set>
 
 namespace guavaline::detail {
 
@@ -141,18 +142,6 @@
   co_await Stop(aEntry);
 }
 
-/// What the settings say does not change in the life of a process, so that
-/// there is nothing to take in again; the signal must not end it.
-asio::awaitable<void> AwaitReload(Entry& aEntry)
-{
-  asio::signal_set signals(aEntry.mContext, SIGHUP);
-  while (true) {
-    co_await signals.async_wait(asio::use_awaitable);
-    Log(LogLevel::Info, "reloaded",
-        { { "configuration", std::to_string(aEntry.mRouting.mVersion) } });
-  }
-}
-
 } // namespace
 
 Entry::Entry(asio::io_context& aContext, EntrySettings aSettings,
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -24,6 +24,8 @@
   double mColdOver = 1.5;   ///< Factor on a cold target's rate, ...
   double mColdSlack = 5;    ///< ... and requests a second on top of it.
   double mMostShift = 0.15; ///< Requests that may change region in 2 s.
+
+  bool operator==(const EntryBounds&) const = default;
 };
 
 /// Limits of the process.
@@ -31,6 +33,8 @@
 {
   std::uint32_t mMostDescriptors = 4'096;
   std::uint32_t mMemoryMb = 256;
+
+  bool operator==(const EntryLimits&) const = default;
 };
 
 struct EntrySettings
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -19,6 +19,13 @@
   aRegistry.mTargets.erase(it);
 }
 
+std::string RegionOf(const TargetRegistry& aRegistry,
+                     const std::string& aDomain)
+{
+  const auto it = aRegistry.mDomains.find(aDomain);
+  return it == aRegistry.mDomains.end() ? std::string() : it->second;
+}
+
 void Add(TargetRegistry& aRegistry, const Registration& aRegistration,
          TimePoint aNow)
 {
@@ -29,10 +36,7 @@
     HashPair(target->mHash, static_cast<std::uint64_t>(aRegistration.mStarted));
   target->mColdUntil = aNow + aRegistration.mColdLeft;
   target->mLeft = aRegistration.mDraining;
-  const auto domain = aRegistry.mDomains.find(aRegistration.mFailureDomain);
-  if (domain != aRegistry.mDomains.end()) {
-    target->mRegion = domain->second;
-  }
+  target->mRegion = RegionOf(aRegistry, aRegistration.mFailureDomain);
   aRegistry.mByService[aRegistration.mService].push_back(target);
   aRegistry.mTargets[aRegistration.mId] = std::move(target);
 }
@@ -86,6 +90,14 @@
   return RegistryChange::Left;
 }
 
+void SetDomains(TargetRegistry& aRegistry, DomainMap aDomains)
+{
+  aRegistry.mDomains = std::move(aDomains);
+  for (const auto& [id, target] : aRegistry.mTargets) {
+    target->mRegion = RegionOf(aRegistry, target->mRegistration.mFailureDomain);
+  }
+}
+
 void NoteRegistryTrouble(TargetRegistry& aRegistry, TimePoint aNow) noexcept
 {
   aRegistry.mTroubleUntil = aNow + kLapseGrace;
--- /dev/null
+++ b/tests/unit/reload_test.cpp
@@ -0,0 +1,130 @@
+#include "entry/entry.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+
+using namespace guavaline;
+using namespace guavaline::detail;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+
+EntrySettings MakeSettings()
+{
+  EntrySettings out;
+  out.mName = "e1";
+  out.mFailureDomain = "d1";
+  out.mRegion = "r1";
+  out.mDomains = { { "d1", "r1" } };
+  return out;
+}
+
+/// An entry whose settings on file can be changed.
+struct Bed
+{
+  asio::io_context mContext{ 1 };
+  EntrySettings mOnFile = MakeSettings();
+  Problems mProblems;
+  Entry mEntry;
+
+  Bed()
+    : mEntry(mContext, MakeSettings(), MakeAdapter())
+  {
+    cr_assert(mEntry.mCallerServer
+                .Listen(mContext, "127.0.0.1", 0,
+                        [](HttpRequest) -> asio::awaitable<HttpResponse> {
+                          co_return HttpResponse{};
+                        },
+                        {})
+                .empty());
+  }
+
+  PlatformAdapter MakeAdapter()
+  {
+    PlatformAdapter out;
+    out.mReadSettings = [this](EntrySettings& a) {
+      a = mOnFile;
+      return mProblems;
+    };
+    return out;
+  }
+
+  /// Runs the event loop for a moment after SIGHUP.
+  void HangUp()
+  {
+    asio::co_spawn(mContext, AwaitReload(mEntry), asio::detached);
+    asio::steady_timer timer(mContext, 100ms);
+    timer.async_wait(
+      [&](const boost::system::error_code&) { mContext.stop(); });
+    asio::steady_timer soon(mContext, 20ms);
+    soon.async_wait(
+      [](const boost::system::error_code&) { std::raise(SIGHUP); });
+    mContext.run();
+  }
+};
+
+} // namespace
+
+Test(reload, bounds_and_domains_change_while_the_entry_runs)
+{
+  Bed bed;
+  Registration target;
+  target.mId = "t1";
+  target.mService = "s";
+  target.mAddress = "127.0.0.1:1";
+  target.mFailureDomain = "d2";
+  target.mSlots = 1;
+  TakeRegistration(bed.mEntry.mRegistry, target, Clock::now());
+  cr_assert(bed.mEntry.mRegistry.mTargets.at("t1")->mRegion.empty());
+  bed.mOnFile.mBounds.mMostShift = 0.05;
+  bed.mOnFile.mBounds.mTargetAge = 1s;
+  bed.mOnFile.mDomains["d2"] = "r2";
+  bed.HangUp();
+  cr_assert_eq(bed.mEntry.mRegionShare.mMostShift, 0.05);
+  cr_assert(bed.mEntry.mSettings.mBounds.mTargetAge == 1s);
+  cr_assert_eq(bed.mEntry.mRegistry.mTargets.at("t1")->mRegion, "r2");
+}
+
+Test(reload, settings_with_mistakes_leave_those_in_force)
+{
+  Bed bed;
+  bed.mOnFile.mBounds.mMostShift = 0.05;
+  bed.mProblems = { { "node.conf", 3, "bounds.drain", "soon", "a time" } };
+  bed.HangUp();
+  cr_assert_eq(bed.mEntry.mSettings.mBounds.mMostShift, 0.15);
+}
+
+Test(reload, a_smaller_retry_bound_takes_savings_away_and_a_larger_adds_none)
+{
+  Bed bed;
+  RetryBudget& budget = bed.mEntry.mRetries["s"];
+  SetRetryBounds(bed.mEntry, budget);
+  budget.mTokens = budget.mMost;
+  const double before = budget.mTokens;
+  auto settings = MakeSettings();
+  settings.mBounds.mRetrySlack = 6;
+  cr_assert(TakeSettings(bed.mEntry, settings));
+  cr_assert_lt(budget.mTokens, before);
+  const double small = budget.mTokens;
+  settings.mBounds.mRetrySlack = 640;
+  cr_assert(TakeSettings(bed.mEntry, settings));
+  cr_assert_eq(budget.mTokens, small);
+  cr_assert_not(TakeSettings(bed.mEntry, settings));
+}
+
+Test(reload, what_holds_for_the_life_of_a_process_does_not_change)
+{
+  Bed bed;
+  bed.mOnFile.mName = "other";
+  bed.mOnFile.mStore = { "10.0.0.1", 80 };
+  bed.HangUp();
+  cr_assert_eq(bed.mEntry.mSettings.mName, "e1");
+  cr_assert_eq(bed.mEntry.mSettings.mStore.mPort, 0U);
+}
