Hold the bound on shifts also where the own region has no room

Cause: placement left its region at once where that had no room, whatever the leeway said. Ruled out: the starting share (the break comes at the burst); the token bucket's depth alone (4 requests an entry are 14 in 100 of a region's window at 4 entries of 55 requests, so it now follows the rate). Change: in calm the leeway is strict: what would leave beyond it is refused at once (reason shift_bound), and its wish moves the share. After a change among targets, entries or the store, or a broken exchange, it is as before for bounds.stability_window.

--- a/include/guavaline/placement/region_share.hpp
+++ b/include/guavaline/placement/region_share.hpp
@@ -12,10 +12,13 @@
 struct RegionShare
 {
   double mMostShift = 0.15; ///< Bound on the change between two windows.
-  double mFar = 0;          ///< Share that may run in other regions.
-  double mWish = 0;         ///< Share that would if nothing bound it.
-  double mTokens = 0;       ///< Requests that the share is ahead of its use.
-  TimePoint mUpdated{};     ///< When the last request was sent.
+  /// How long after a disturbance requests leave a region without room at once.
+  Millis mUnrest{ 4'000 };
+  double mFar = 0;       ///< Share that may run in other regions.
+  double mWish = 0;      ///< Share that would if nothing bound it.
+  double mTokens = 0;    ///< Requests that the share is ahead of its use.
+  double mPerWindow = 0; ///< Requests in one window, averaged.
+  TimePoint mUpdated{};  ///< When the last request was sent.
 };
 
 /// Which way a request may go.
@@ -23,6 +26,8 @@
 {
   bool mMayStay = true;
   bool mMayLeave = true;
+  /// It binds also where the region that it names has no room.
+  bool mStrict = false;
 };
 
 /// Sets the share that is expected before anything was sent.
@@ -34,8 +39,16 @@
 void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar,
                 TimePoint aNow) noexcept;
 
+/// Notes a request that is refused because of the leeway: it counts for where
+/// requests would go, and moves the share.
+void NoteRefused(RegionShare& aShare, bool aWishFar, TimePoint aNow) noexcept;
+
 /// @returns where the next request may go
-[[nodiscard]] RegionLeeway LeewayOf(const RegionShare& aShare) noexcept;
+/// @param aDisturbed  when a target, connection, entry or the store was last
+///                    seen to change or fail
+[[nodiscard]] RegionLeeway LeewayOf(const RegionShare& aShare,
+                                    TimePoint aDisturbed,
+                                    TimePoint aNow) noexcept;
 
 /// @returns the far share that evens out the slots of a region and its
 ///          callers, who are taken to be spread evenly over failure domains
--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -72,6 +72,7 @@
   std::set<std::string> mEvacuated; ///< Failure domains that get no work.
   std::map<std::string, TimePoint> mReturned; ///< Ends of evacuations.
   TimePoint mTroubleUntil{}; ///< Lapses until then may be false.
+  TimePoint mChanged{};      ///< When a target or domain last came or went.
 };
 
 /// What a change did to a target.
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -57,6 +57,7 @@
   RoundTrips mTrips;
   WarmTable mWarm;
   RegionShare mRegionShare;
+  TimePoint mDisturbed{}; ///< When a connection, entry or the store failed.
   std::map<std::string, RouteRecord> mRoutes;  ///< By route.
   std::map<std::string, RetryBudget> mRetries; ///< By service.
   CrasherTable mCrashers;
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -126,6 +126,7 @@
         { { "entry", aChange.mName } });
     return;
   }
+  aEntry.mDisturbed = aNow;
   Log(LogLevel::Info, "entry_record_changed",
       { { "entry", aChange.mName },
         { "removed", aChange.mRemoved ? "yes" : "no" } });
@@ -159,6 +160,7 @@
     NoteRegistryTrouble(aEntry.mRegistry, aNow);
   }
   NoteCall(aEntry.mStoreAccess, worked, aNow);
+  aEntry.mDisturbed = worked ? aEntry.mDisturbed : aNow;
   if (NoteCall(state.mAccess, worked, aNow)) {
     Log(worked ? LogLevel::Info : LogLevel::Warning,
         worked ? "store_regained" : "store_lost",
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -66,15 +66,18 @@
 
 void Choose(Entry& aEntry, Passage& aPassage, TimePoint aNow)
 {
-  const PlacementView view{ aEntry.mRegistry,
-                            aEntry.mTrips,
-                            aEntry.mWarm,
-                            aEntry.mRoutes[aPassage.mRoute.mName].mRunTimes,
-                            ColdBoundOf(aEntry, aPassage.mService),
-                            SharingEntries(aEntry.mRoster),
-                            CountLiveInRegion(aEntry.mRoster, aNow),
-                            IsUnseen(aEntry, aNow),
-                            LeewayOf(aEntry.mRegionShare) };
+  const PlacementView view{
+    aEntry.mRegistry,
+    aEntry.mTrips,
+    aEntry.mWarm,
+    aEntry.mRoutes[aPassage.mRoute.mName].mRunTimes,
+    ColdBoundOf(aEntry, aPassage.mService),
+    SharingEntries(aEntry.mRoster),
+    CountLiveInRegion(aEntry.mRoster, aNow),
+    IsUnseen(aEntry, aNow),
+    LeewayOf(aEntry.mRegionShare,
+             std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow)
+  };
   const PlacementRequest request{ aPassage.mRoute, aPassage.mService,
                                   aPassage.mKey,   aPassage.mDeadline,
                                   aPassage.mTried, aPassage.mReturning };
@@ -88,6 +91,8 @@
       return "no_target";
     case PlacementRefusal::Full:
       return "full";
+    case PlacementRefusal::Bound:
+      return "shift_bound";
     case PlacementRefusal::TooLate:
       return "too_late";
     case PlacementRefusal::None:
@@ -142,6 +147,9 @@
     const auto now = Clock::now();
     Choose(aEntry, aPassage, now);
     const auto refusal = aPassage.mChoice.mRefusal;
+    if (refusal == PlacementRefusal::Bound) {
+      NoteRefused(aEntry.mRegionShare, aPassage.mChoice.mWishFar, now);
+    }
     if (refusal != PlacementRefusal::None) {
       if (aPassage.mSends > 0) {
         co_return GiveUp(aEntry, aPassage, std::move(last), now);
--- a/src/entry/reload.cpp
+++ b/src/entry/reload.cpp
@@ -86,6 +86,7 @@
   present.mLimits = aNew.mLimits;
   present.mDomains = aNew.mDomains;
   aEntry.mRegionShare.mMostShift = aNew.mBounds.mMostShift;
+  aEntry.mRegionShare.mUnrest = aNew.mBounds.mUnrest;
   SetDomains(aEntry.mRegistry, aNew.mDomains);
   for (auto& [service, budget] : aEntry.mRetries) {
     SetRetryBounds(aEntry, budget);
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -155,6 +155,7 @@
 {
   mRegistry.mDomains = mSettings.mDomains;
   mRegionShare.mMostShift = mSettings.mBounds.mMostShift;
+  mRegionShare.mUnrest = mSettings.mBounds.mUnrest;
   mTrips.mOwnDomain = mSettings.mFailureDomain;
   mTrips.mOwnRegion = mSettings.mRegion;
   auto& self = mRoster.mSelf;
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -153,6 +153,7 @@
                   const ExchangeResult& aResult, TimePoint aStarted,
                   TimePoint aNow)
 {
+  aEntry.mDisturbed = aNow;
   if (aResult.mConnectFailed) {
     NoteUnreachable(aTarget.mLoad, aNow);
   } else if (!aResult.mTimedOut) {
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -24,6 +24,7 @@
   double mColdOver = 1.5;   ///< Factor on a cold target's rate, ...
   double mColdSlack = 5;    ///< ... and requests a second on top of it.
   double mMostShift = 0.15; ///< Requests that may change region in 2 s.
+  Millis mUnrest{ 4'000 };  ///< After a disturbance; bounds hold in calm.
 
   bool operator==(const EntryBounds&) const = default;
 };
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -227,25 +227,31 @@
   return out;
 }
 
-/// Takes the cheaper of two, unless the leeway between regions forbids it
-/// and the other has room.
-std::optional<Forecast> Weigh(const Best& aNear, const Best& aFar,
-                              const RegionLeeway& aLeeway)
+/// What comes of weighing regions against each other.
+struct Weighed
 {
-  if (!aNear.mBest || !aFar.mBest) {
-    auto out = aNear.mBest ? aNear.mBest : aFar.mBest;
-    if (out) {
-      out->mChoice.mWishFar = out->mChoice.mFar;
-    }
-    return out;
-  }
-  const bool wishFar = aFar.mBest->mCostMs < aNear.mBest->mCostMs;
+  std::optional<Forecast> mBest;
+  bool mWishFar = false; ///< Without the leeway it would leave.
+  bool mBound = false;   ///< Only the leeway is in the way.
+};
+
+/// Takes the cheaper of two, unless the leeway between regions forbids it. A
+/// region without any candidate, and one without room unless the leeway is
+/// strict, leaves the other one.
+Weighed Weigh(const Best& aNear, const Best& aFar, const RegionLeeway& aLeeway)
+{
+  const bool wishFar =
+    aFar.mBest && (!aNear.mBest || aFar.mBest->mCostMs < aNear.mBest->mCostMs);
   bool goFar = wishFar;
   if (!aLeeway.mMayLeave || !aLeeway.mMayStay) {
     goFar = aLeeway.mMayLeave;
   }
-  auto out = goFar ? aFar.mBest : aNear.mBest;
-  out->mChoice.mWishFar = wishFar;
+  const auto& wanted = goFar ? aFar : aNear;
+  const auto& other = goFar ? aNear : aFar;
+  const bool bound = aLeeway.mStrict && wanted.mShortest;
+  Weighed out{ wanted.mBest || bound ? wanted.mBest : other.mBest, wishFar,
+               false };
+  out.mBound = !out.mBest && other.mBest;
   return out;
 }
 
@@ -295,14 +301,17 @@
   const auto near =
     BestOf(aView, aRequest, field.mNear, field.mWarm, false, aNow);
   const auto far = BestOf(aView, aRequest, field.mFar, field.mWarm, true, aNow);
-  auto best = Weigh(near, far, aView.mLeeway);
+  auto weighed = Weigh(near, far, aView.mLeeway);
+  auto& best = weighed.mBest;
   if (!near.mShortest && !far.mShortest) {
     best = BestOf(aView, aRequest, field.mCold, {}, false, aNow).mBest;
   }
+  auto out = best ? best->mChoice : Refuse(field, near, far);
+  out.mWishFar = weighed.mWishFar;
   if (!best) {
-    return Refuse(field, near, far);
+    out.mRefusal = weighed.mBound ? PlacementRefusal::Bound : out.mRefusal;
+    return out;
   }
-  auto out = best->mChoice;
   if (aNow + out.mRoundTrip + out.mWait + out.mRun > aRequest.mDeadline) {
     out.mRefusal = PlacementRefusal::TooLate;
     out.mClearsIn = kLeastClear;
--- a/src/placement/region_share.cpp
+++ b/src/placement/region_share.cpp
@@ -11,8 +11,14 @@
 /// the bucket's depth.
 constexpr double kSlewPart = 0.6;
 constexpr double kWishWeight = 0.1;
-/// Requests by which the use of the share may be ahead or behind.
-constexpr double kDepth = 4;
+/// Requests by which the use of the share may be ahead or behind: a part of
+/// the allowed change in a window, within bounds.
+constexpr double kDepthPart = 0.2;
+constexpr double kLeastDepth = 0.6;
+constexpr double kMostDepth = 4;
+/// Weight of the present gap between requests in their rate.
+constexpr double kRateWeight = 0.05;
+constexpr double kLeastGapSeconds = 0.0005;
 /// Longest gap between requests for which the share moves on.
 constexpr double kMostGapSeconds = 0.5;
 constexpr double kMostFirstFar = 0.8;
@@ -20,6 +26,25 @@
 /// cold then and hold slots for longer.
 constexpr double kColdStart = 0.85;
 
+double DepthOf(const RegionShare& aShare) noexcept
+{
+  return std::clamp(kDepthPart * aShare.mMostShift * aShare.mPerWindow,
+                    kLeastDepth, kMostDepth);
+}
+
+/// Moves the share toward the wish.
+/// @returns the seconds since the last request, within bounds
+double Follow(RegionShare& aShare, bool aWishFar, TimePoint aNow) noexcept
+{
+  const std::chrono::duration<double> gap = aNow - aShare.mUpdated;
+  const double seconds = std::min(gap.count(), kMostGapSeconds);
+  aShare.mUpdated = aNow;
+  aShare.mWish += kWishWeight * ((aWishFar ? 1 : 0) - aShare.mWish);
+  const double step = aShare.mMostShift * kSlewPart / kWindowSeconds * seconds;
+  aShare.mFar += std::clamp(aShare.mWish - aShare.mFar, -step, step);
+  return seconds;
+}
+
 } // namespace
 
 void ExpectFarShare(RegionShare& aShare, double aFar) noexcept
@@ -33,20 +58,30 @@
 void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar,
                 TimePoint aNow) noexcept
 {
-  const std::chrono::duration<double> gap = aNow - aShare.mUpdated;
-  const double seconds = std::min(gap.count(), kMostGapSeconds);
-  aShare.mUpdated = aNow;
-  aShare.mWish += kWishWeight * ((aWishFar ? 1 : 0) - aShare.mWish);
-  const double step = aShare.mMostShift * kSlewPart / kWindowSeconds * seconds;
-  aShare.mFar += std::clamp(aShare.mWish - aShare.mFar, -step, step);
+  const auto seconds = Follow(aShare, aWishFar, aNow);
+  // An average of gaps, since that of rates is drawn to the shortest gaps.
+  const double mean =
+    aShare.mPerWindow > 0 ? kWindowSeconds / aShare.mPerWindow : seconds;
+  aShare.mPerWindow =
+    kWindowSeconds /
+    std::max(kLeastGapSeconds, mean + kRateWeight * (seconds - mean));
+  const double depth = DepthOf(aShare);
   aShare.mTokens =
-    std::clamp(aShare.mTokens + aShare.mFar - (aFar ? 1 : 0), -kDepth, kDepth);
+    std::clamp(aShare.mTokens + aShare.mFar - (aFar ? 1 : 0), -depth, depth);
+}
+
+void NoteRefused(RegionShare& aShare, bool aWishFar, TimePoint aNow) noexcept
+{
+  (void)Follow(aShare, aWishFar, aNow);
 }
 
-RegionLeeway LeewayOf(const RegionShare& aShare) noexcept
+RegionLeeway LeewayOf(const RegionShare& aShare, TimePoint aDisturbed,
+                      TimePoint aNow) noexcept
 {
   const double next = aShare.mTokens + aShare.mFar;
-  return { next <= kDepth, next - 1 >= -kDepth };
+  const double depth = DepthOf(aShare);
+  return { next <= depth, next - 1 >= -depth,
+           aNow - aDisturbed > aShare.mUnrest };
 }
 
 double FirstFarShare(double aOwnSlots, double aAllSlots, double aOwnDomains,
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -56,15 +56,18 @@
   const auto it = aRegistry.mTargets.find(aRegistration.mId);
   if (it == aRegistry.mTargets.end()) {
     Add(aRegistry, aRegistration, aNow);
+    aRegistry.mChanged = aNow;
     return RegistryChange::Joined;
   }
   auto& target = *it->second;
   if (IsOtherLife(target.mRegistration, aRegistration)) {
     Remove(aRegistry, aRegistration.mId);
     Add(aRegistry, aRegistration, aNow);
+    aRegistry.mChanged = aNow;
     return RegistryChange::Restarted;
   }
   const bool drains = aRegistration.mDraining && !target.mLeft;
+  aRegistry.mChanged = drains ? aNow : aRegistry.mChanged;
   target.mRegistration = aRegistration;
   target.mLapsesAt.reset();
   target.mLeft = target.mLeft || aRegistration.mDraining;
@@ -80,6 +83,7 @@
     return RegistryChange::None;
   }
   auto& target = *it->second;
+  aRegistry.mChanged = aNow;
   if (aNow < aRegistry.mTroubleUntil && !target.mLeft) {
     if (!target.mLapsesAt) {
       target.mLapsesAt = aRegistry.mTroubleUntil;
@@ -106,6 +110,7 @@
 bool TakeEvacuation(TargetRegistry& aRegistry, const std::string& aDomain,
                     bool aEmptied, TimePoint aNow)
 {
+  aRegistry.mChanged = aNow;
   if (aEmptied) {
     return aRegistry.mEvacuated.insert(aDomain).second;
   }
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -192,6 +192,28 @@
   cr_assert(scene.Choose(Key(1), kNow).mFar);
 }
 
+// Pattern: a burst that leaves no room in the own region.
+Test(placement, a_strict_leeway_binds_also_where_there_is_no_room)
+{
+  Scene scene(4, 4);
+  for (auto& [id, target] : scene.mRegistry.mTargets) {
+    target->mLoad.mOwn = target->mRegion == "a" ? 50 : 0;
+  }
+  scene.mLeeway = { true, false, false };
+  cr_assert(scene.Choose(Key(1), kNow).mFar);
+  scene.mLeeway.mStrict = true;
+  const auto refused = scene.Choose(Key(1), kNow);
+  cr_assert_eq(refused.mRefusal, PlacementRefusal::Bound);
+  cr_assert(refused.mWishFar);
+  cr_assert_gt(refused.mClearsIn.count(), 0);
+  // With leave to go it goes, and a region without targets binds nobody.
+  scene.mLeeway.mMayLeave = true;
+  cr_assert(scene.Choose(Key(1), kNow).mFar);
+  Scene lost(0, 4);
+  lost.mLeeway = { true, false, true };
+  cr_assert(lost.Choose(Key(1), kNow).mFar);
+}
+
 Test(placement, cold_targets_serve_only_where_there_is_no_other)
 {
   Scene scene(2, 0);
--- a/tests/unit/region_share_test.cpp
+++ b/tests/unit/region_share_test.cpp
@@ -23,7 +23,7 @@
     double far = 0;
     for (int k = 0; k < 200; ++k, ++n) {
       const auto now = kNow + n * 10ms;
-      const auto leeway = LeewayOf(aShare);
+      const auto leeway = LeewayOf(aShare, kNow, now);
       const bool wish = std::fmod(n * 0.618, 1.0) < aWish;
       const bool leave = wish ? leeway.mMayLeave : !leeway.mMayStay;
       NoteRegion(aShare, wish, leave, now);
@@ -67,3 +67,42 @@
   cr_assert_eq(FirstFarShare(100, 240, 2, 6), 0);
   cr_assert_eq(FirstFarShare(0, 0, 1, 1), 0);
 }
+
+// Pattern: a burst that fills the own region; placement would send all of it
+// to other regions at once.
+Test(region_share, in_calm_times_the_leeway_is_strict)
+{
+  RegionShare share;
+  cr_assert(LeewayOf(share, kNow - 5s, kNow).mStrict);
+  cr_assert_not(LeewayOf(share, kNow - 1s, kNow).mStrict);
+}
+
+// Pattern: several entries of a region that share its bound without talk; few
+// requests each, so that single requests weigh much.
+Test(region_share, few_requests_at_each_entry_keep_the_bound_together)
+{
+  constexpr std::size_t kEntries = 4;
+  constexpr int kPerWindow = 55;
+  std::vector<RegionShare> entries(kEntries);
+  std::vector<double> shares;
+  for (int window = 0; window < 12; ++window) {
+    double far = 0;
+    for (int k = 0; k < kPerWindow; ++k) {
+      for (auto& it : entries) {
+        const auto now = kNow + window * 2s + k * 36ms;
+        const auto leeway = LeewayOf(it, {}, now);
+        // Four calm windows, then every request wishes to leave.
+        const bool wish = window >= 4;
+        const bool leave = wish ? leeway.mMayLeave : !leeway.mMayStay;
+        NoteRegion(it, wish, leave, now);
+        far += leave ? 1 : 0;
+      }
+    }
+    shares.push_back(far / (kPerWindow * kEntries));
+  }
+  for (std::size_t n = 1; n < shares.size(); ++n) {
+    cr_assert_leq(std::abs(shares[n] - shares[n - 1]), 0.15,
+                  "window %zu: %f to %f", n, shares[n - 1], shares[n]);
+  }
+  cr_assert_gt(shares.back(), 0.5);
+}
