Let few entries look for a lost store, and hold back at targets after an outage

Two changes that touch the same lines. 1. Ruled out: relays (entries hear each other all along). Change: in an outage three entries of a region ask, about one kind; all others wait for the first call that works, 3 s at most. Change: in an outage and 4 s after it targets count as possibly cold, as they did for old views.

--- a/include/guavaline/views/follow.hpp
+++ b/include/guavaline/views/follow.hpp
@@ -30,6 +30,7 @@
   bool mConnected = true;                 ///< The last call worked.
   std::optional<TimePoint> mFailingSince; ///< Set while calls fail.
   TimePoint mCalled{};                    ///< When the last call ended.
+  TimePoint mOutageEnded{};               ///< When the last outage ended.
   Millis mBackoff{ 0 };                   ///< Pause before the next call.
 };
 
@@ -42,6 +43,20 @@
 [[nodiscard]] bool InOutage(const StoreAccess& aAccess,
                             TimePoint aNow) noexcept;
 
+/// @returns true in an outage and for a while after it: what operators and
+///          targets wanted to write meanwhile takes effect late, or is over
+///          before it was seen
+[[nodiscard]] bool MayHaveMissed(const StoreAccess& aAccess,
+                                 TimePoint aNow) noexcept;
+
+/// @returns the pause after a failed call about one kind of object
+/// @param aAll     calls about all kinds
+/// @param aProbes  this entry looks for the store's return for its region, by
+///                 calls about this kind
+[[nodiscard]] Millis PauseAfterFailure(const StoreAccess& aAccess,
+                                       const StoreAccess& aAll, bool aProbes,
+                                       TimePoint aNow) noexcept;
+
 /// @returns how long the store may hold the next watch
 [[nodiscard]] Millis WatchWait(const StoreAccess& aAccess,
                                const FollowTimes& aTimes) noexcept;
--- a/include/guavaline/views/object_view.hpp
+++ b/include/guavaline/views/object_view.hpp
@@ -58,4 +58,9 @@
 [[nodiscard]] bool IsWatcher(const std::string& aSelf,
                              const std::vector<std::string>& aLive);
 
+/// @returns true for the few entries of a region that look for the store's
+///          return on behalf of all
+[[nodiscard]] bool IsProber(const std::string& aSelf,
+                            const std::vector<std::string>& aLive);
+
 } // namespace guavaline
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -242,6 +242,23 @@
                      state.mView.mConfirmed, watches, aNow);
 }
 
+/// Waits after a failed call; in an outage no longer than until any call works
+/// again.
+asio::awaitable<void> AwaitReturn(Entry& aEntry, ObjectKind aKind)
+{
+  const auto& access = aEntry.mFollows[aKind].mAccess;
+  const auto& all = aEntry.mStoreAccess;
+  const auto started = Clock::now();
+  const bool probes =
+    aKind == ObjectKind::Targets &&
+    IsProber(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, started));
+  const auto pause = PauseAfterFailure(access, all, probes, started);
+  co_await Pause(aEntry, access.mBackoff);
+  while (!all.mConnected && Clock::now() - started < pause) {
+    co_await Pause(aEntry, kAgeCheck);
+  }
+}
+
 } // namespace
 
 const char* KindName(ObjectKind aKind) noexcept
@@ -285,7 +302,7 @@
     if (access.mConnected) {
       co_await Pause(aEntry, listed ? kGatherTime : Millis(1));
     } else {
-      co_await Pause(aEntry, access.mBackoff);
+      co_await AwaitReturn(aEntry, aKind);
     }
   }
 }
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -42,7 +42,8 @@
   return it->second;
 }
 
-/// True where the view of targets and evacuations is too old to rely on.
+/// True where the view of targets and evacuations is too old to rely on, or
+/// the store was away so that it may tell of changes late.
 bool IsUnseen(const Entry& aEntry, TimePoint aNow)
 {
   for (const auto kind : { ObjectKind::Targets, ObjectKind::Evacuations }) {
@@ -52,7 +53,7 @@
       return true;
     }
   }
-  return false;
+  return MayHaveMissed(aEntry.mStoreAccess, aNow);
 }
 
 ColdBound ColdBoundOf(const Entry& aEntry, const std::string& aService)
--- a/src/views/follow.cpp
+++ b/src/views/follow.cpp
@@ -11,12 +11,14 @@
 constexpr int kStalePart = 17;
 constexpr int kWhole = 20;
 /// An entry that the store turns away asks it this often while others keep
-/// its view current.
+/// its view current, or look for the store's return.
 constexpr Millis kProbeWhileHearing{ 3'000 };
 /// While calls fail they are short, so that the store's return shows soon.
 constexpr Millis kWatchWhileLost{ 200 };
 /// Registrations can lapse at the store only in outages longer than this.
 constexpr Millis kShortOutage{ 1'000 };
+/// Writes that waited for the store's return are in every view after it.
+constexpr Millis kLateWrites{ 4'000 };
 constexpr Millis kFirstBackoff{ 200 };
 constexpr Millis kMostBackoff{ 1'000 };
 
@@ -33,6 +35,8 @@
   aAccess.mConnected = aWorked;
   aAccess.mCalled = aNow;
   if (aWorked) {
+    aAccess.mOutageEnded =
+      InOutage(aAccess, aNow) ? aNow : aAccess.mOutageEnded;
     aAccess.mFailingSince.reset();
     aAccess.mBackoff = Millis(0);
     return changed;
@@ -50,6 +54,19 @@
   return aAccess.mFailingSince && aNow - *aAccess.mFailingSince >= kShortOutage;
 }
 
+bool MayHaveMissed(const StoreAccess& aAccess, TimePoint aNow) noexcept
+{
+  return InOutage(aAccess, aNow) || (aAccess.mOutageEnded != TimePoint{} &&
+                                     aNow - aAccess.mOutageEnded < kLateWrites);
+}
+
+Millis PauseAfterFailure(const StoreAccess& aAccess, const StoreAccess& aAll,
+                         bool aProbes, TimePoint aNow) noexcept
+{
+  return aProbes || !InOutage(aAll, aNow) ? aAccess.mBackoff
+                                          : kProbeWhileHearing;
+}
+
 Millis WatchWait(const StoreAccess& aAccess, const FollowTimes& aTimes) noexcept
 {
   return aAccess.mConnected ? aTimes.mWait : kWatchWhileLost;
--- a/src/views/object_view.cpp
+++ b/src/views/object_view.cpp
@@ -11,6 +11,19 @@
 /// Removals kept for entries that were out of reach for a while.
 constexpr std::size_t kMostRemovals = 1'000;
 
+/// Entries of a region that look for the store's return: more than one, since
+/// a store may turn some entries away and serve the others.
+constexpr std::ptrdiff_t kProbers = 3;
+
+/// @returns how many entries come before this one in the agreed order
+std::ptrdiff_t CountAbove(const std::string& aSelf,
+                          const std::vector<std::string>& aLive)
+{
+  const auto own = Hash(aSelf);
+  return std::count_if(aLive.begin(), aLive.end(),
+                       [own](const std::string& a) { return Hash(a) > own; });
+}
+
 void NoteRemoval(ObjectView& aView, const ObjectChange& aChange)
 {
   aView.mRemovals.push_back(aChange);
@@ -122,9 +135,12 @@
 
 bool IsWatcher(const std::string& aSelf, const std::vector<std::string>& aLive)
 {
-  const auto own = Hash(aSelf);
-  return std::none_of(aLive.begin(), aLive.end(),
-                      [own](const std::string& a) { return Hash(a) > own; });
+  return CountAbove(aSelf, aLive) == 0;
+}
+
+bool IsProber(const std::string& aSelf, const std::vector<std::string>& aLive)
+{
+  return CountAbove(aSelf, aLive) < kProbers;
 }
 
 } // namespace guavaline
--- a/tests/unit/follow_test.cpp
+++ b/tests/unit/follow_test.cpp
@@ -48,6 +48,65 @@
   cr_assert_leq(access.mBackoff.count(), 1'000);
 }
 
+namespace {
+
+/// Calls that one entry makes about one kind while the store is out.
+int CallsInOutage(bool aProbes, Millis aLength)
+{
+  StoreAccess access;
+  StoreAccess all;
+  int n = 0;
+  for (auto now = kNow; now < kNow + aLength; ++n) {
+    NoteCall(access, false, now);
+    NoteCall(all, false, now);
+    now += PauseAfterFailure(access, all, aProbes, now);
+  }
+  return n;
+}
+
+} // namespace
+
+// Pattern: many entries that lose the store at once and all ask for it.
+Test(follow, few_look_for_a_lost_store_and_the_others_wait_for_them)
+{
+  cr_assert_leq(CallsInOutage(true, 8s), 12);
+  cr_assert_leq(CallsInOutage(false, 8s), 6);
+  // Its return is seen within a second by those that look.
+  StoreAccess access;
+  StoreAccess all;
+  for (int n = 0; n < 20; ++n) {
+    NoteCall(access, false, kNow + n * 1s);
+    NoteCall(all, false, kNow + n * 1s);
+  }
+  cr_assert_leq(PauseAfterFailure(access, all, true, kNow + 20s).count(),
+                1'000);
+  cr_assert_gt(PauseAfterFailure(access, all, false, kNow + 20s).count(),
+               1'000);
+  // A single broken connection is tried again at once by everybody.
+  StoreAccess fresh;
+  NoteCall(fresh, false, kNow);
+  cr_assert_leq(PauseAfterFailure(fresh, fresh, false, kNow).count(), 200);
+}
+
+// Found by a hunted day: an evacuation that an operator wanted during an
+// outage ended, and left its targets cold, before entries had heard of it.
+Test(follow, for_a_while_after_an_outage_changes_may_have_been_missed)
+{
+  StoreAccess access;
+  cr_assert_not(MayHaveMissed(access, kNow));
+  NoteCall(access, false, kNow);
+  cr_assert_not(MayHaveMissed(access, kNow + 500ms));
+  cr_assert(MayHaveMissed(access, kNow + 1s));
+  NoteCall(access, true, kNow + 6s);
+  cr_assert(MayHaveMissed(access, kNow + 6s));
+  cr_assert(MayHaveMissed(access, kNow + 9900ms));
+  cr_assert_not(MayHaveMissed(access, kNow + 10s));
+  // A connection that broke for a moment hides nothing.
+  NoteCall(access, false, kNow + 20s);
+  NoteCall(access, true, kNow + 20500ms);
+  cr_assert_not(MayHaveMissed(access, kNow + 20500ms));
+}
+
 Test(follow, an_entry_listens_only_while_the_view_is_confirmed)
 {
   const auto times = FollowTimesFor(2'500ms);
--- a/tests/unit/object_view_test.cpp
+++ b/tests/unit/object_view_test.cpp
@@ -95,8 +95,12 @@
 {
   const std::vector<std::string> live{ "e1", "e2", "e3", "e4", "e5" };
   int watchers = 0;
+  int probers = 0;
   for (const auto& it : live) {
     watchers += IsWatcher(it, live) ? 1 : 0;
+    probers += IsProber(it, live) ? 1 : 0;
   }
   cr_assert_eq(watchers, 1);
+  // Some more look for a store that was lost.
+  cr_assert_eq(probers, 3);
 }
