--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -134,9 +134,9 @@
                  before.end() - static_cast<std::ptrdiff_t>(kMostShown));
   }
   after.resize(std::min(after.size(), kMostShown));
-  aOut.push_back("believed before:");
+  aOut.emplace_back("believed before:");
   aOut.insert(aOut.end(), before.begin(), before.end());
-  aOut.push_back("learned afterwards:");
+  aOut.emplace_back("learned afterwards:");
   aOut.insert(aOut.end(), after.begin(), after.end());
 }
 
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -3,6 +3,7 @@
 #include "history/checker.hpp"
 
 #include <algorithm>
+#include <deque>
 #include <map>
 
 namespace guavaline::testing {
@@ -82,12 +83,12 @@
 Lines CheckRouting(const SoakHistory& aHistory)
 {
   Lines out;
-  std::vector<const Event*> accepted;
+  std::deque<const Event*> accepted; // Newest first.
   const auto sent = SentBy(aHistory.mEvents);
   const auto bound = Micros(aHistory.mBounds.mRouting);
   for (const auto& it : aHistory.mEvents) {
     if (it.mKind == EventKind::ConfigurationAccepted) {
-      accepted.push_back(&it);
+      accepted.push_front(&it);
     }
     const auto by = sent.find(it.mIdentity);
     if (it.mKind != EventKind::RunStarted || it.mClass != "GET" ||
@@ -97,9 +98,9 @@
     // The newest one that must be in force, and all after it.
     bool allowed = false;
     std::int64_t since = 0;
-    for (auto at = accepted.rbegin(); at != accepted.rend(); ++at) {
-      allowed = allowed || (*at)->mService == it.mService;
-      since = (*at)->mMicros;
+    for (const auto* at : accepted) {
+      allowed = allowed || at->mService == it.mService;
+      since = at->mMicros;
       if (since + bound < by->second->mMicros) {
         break;
       }
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -272,7 +272,7 @@
 {
   const auto& it = mEntries[aEntry];
   const auto& address = it.mFront.mAddress;
-  const auto path = mOptions.mDirectory + "/" + it.mName + ".conf";
+  auto path = mOptions.mDirectory + "/" + it.mName + ".conf";
   std::ofstream out(path);
   out << "node=" << it.mName << "\nzone=" << it.mZone
       << "\nregion=" << it.mRegion << "\nip=" << address;
--- a/tests/unit/explain_test.cpp
+++ b/tests/unit/explain_test.cpp
@@ -25,24 +25,25 @@
 }
 
 /// As an entry wrote them on a played day, shortened.
+const std::string kTime = "time=2026-12-04T10:00:0";
 const std::vector<std::string> kLines{
-  "time=2026-12-04T10:00:03.000Z level=warning host=e1 event=exchange_failed "
-  "request=q7 target=i-05 step=receive peer=10.2.64.38:8721 "
-  "error=\"Connection reset by peer\" reused=yes may_have_run=yes",
-  "time=2026-12-04T10:00:03.001Z level=info host=e1 event=request_ended "
-  "request=q7 route=r1 service=s1 status=502 reason=connection_lost "
-  "target=i-05 sends=1 wait_ms=0 run_ms=210 took_ms=80 left_ms=1900 "
-  "configuration=2 view_revision=530 view_age_ms=400",
-  "time=2026-12-04T10:00:01.000Z level=info host=e1 "
-  "event=configuration_accepted version=2 before=1",
-  "time=2026-12-04T10:00:04.000Z level=warning host=e1 event=target_crashed "
-  "target=i-05 digest=ab",
-  "time=2026-12-04T10:00:04.100Z level=info host=e2 event=target_changed "
-  "target=i-05 change=left",
-  "time=2026-12-04T10:00:02.000Z level=info host=e1 event=request_ended "
-  "request=q6 route=r1 service=s1 status=503 reason=full target=i-09",
-  "time=2026-12-04T10:00:05.000Z level=warning host=e1 event=lines_left_out "
-  "over_rate=7 unread=2",
+  kTime + "3.000Z level=warning host=e1 event=exchange_failed " +
+    "request=q7 target=i-05 step=receive peer=10.2.64.38:8721 " +
+    "error=\"Connection reset by peer\" reused=yes may_have_run=yes",
+  kTime + "3.001Z level=info host=e1 event=request_ended request=q7 route=r1 " +
+    "service=s1 status=502 reason=connection_lost target=i-05 sends=1 " +
+    "wait_ms=0 run_ms=210 took_ms=80 left_ms=1900 configuration=2 " +
+    "view_revision=530 view_age_ms=400",
+  kTime + "1.000Z level=info host=e1 event=configuration_accepted version=2 " +
+    "before=1",
+  kTime + "4.000Z level=warning host=e1 event=target_crashed target=i-05 " +
+    "digest=ab",
+  kTime + "4.100Z level=info host=e2 event=target_changed target=i-05 " +
+    "change=left",
+  kTime + "2.000Z level=info host=e1 event=request_ended request=q6 route=r1 " +
+    "service=s1 status=503 reason=full target=i-09",
+  kTime + "5.000Z level=warning host=e1 event=lines_left_out over_rate=7 " +
+    "unread=2",
 };
 
 } // namespace
