Learn nothing good from a success without its mark; reload tests that wait for the reload

A success without the target's mark was refused to the caller but counted as a good run of the target; the reload tests used timers whose order a busy machine can swap. Change: IsUnproven serves learning and judging; the tests run the loop until the settings were read.

--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -100,6 +100,14 @@
   return out;
 }
 
+/// True for a success that something other than a target's own program made.
+bool IsUnproven(const Entry& aEntry, const HttpResponse& aAnswer)
+{
+  const bool success = aAnswer.mStatus >= 200 && aAnswer.mStatus < 300;
+  return success &&
+         FindHeader(aAnswer.mHeaders, aEntry.mPlatform.mHeaders.mProof).empty();
+}
+
 /// Learns from an answer.
 void LearnAnswer(Entry& aEntry, const Passage& aPassage, LiveTarget& aTarget,
                  const HttpResponse& aAnswer, Millis aTook, TimePoint aNow)
@@ -111,7 +119,7 @@
     // The own request is still counted in flight here.
     NoteReport(aTarget.mLoad, *load, aTarget.mLoad.mOwn - 1, aNow);
   }
-  if (aAnswer.mStatus >= 500) {
+  if (aAnswer.mStatus >= 500 || IsUnproven(aEntry, aAnswer)) {
     NoteFailed(aTarget.mLoad, aNow);
     return;
   }
@@ -191,9 +199,7 @@
     return out;
   }
   ++aPassage.mRuns;
-  const bool success = aAnswer.mStatus >= 200 && aAnswer.mStatus < 300;
-  if (success && FindHeader(aAnswer.mHeaders, names.mProof).empty()) {
-    // Something other than a target's own program made this answer.
+  if (IsUnproven(aEntry, aAnswer)) {
     out.mWorthRetry = true;
     out.mWhat = "answer_unproven";
     return out;
--- a/tests/unit/reload_test.cpp
+++ b/tests/unit/reload_test.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/post.hpp>
 
 #include <criterion/criterion.h>
 
@@ -32,6 +32,7 @@
   asio::io_context mContext{ 1 };
   EntrySettings mOnFile = MakeSettings();
   Problems mProblems;
+  int mReads = 0;
   Entry mEntry;
 
   Bed()
@@ -50,23 +51,21 @@
   {
     PlatformAdapter out;
     out.mReadSettings = [this](EntrySettings& a) {
+      ++mReads;
       a = mOnFile;
       return mProblems;
     };
     return out;
   }
 
-  /// Runs the event loop for a moment after SIGHUP.
+  /// Raises SIGHUP and runs the event loop until the settings were read.
   void HangUp()
   {
     asio::co_spawn(mContext, AwaitReload(mEntry), asio::detached);
-    asio::steady_timer timer(mContext, 100ms);
-    timer.async_wait(
-      [&](const boost::system::error_code&) { mContext.stop(); });
-    asio::steady_timer soon(mContext, 20ms);
-    soon.async_wait(
-      [](const boost::system::error_code&) { std::raise(SIGHUP); });
-    mContext.run();
+    asio::post(mContext, [] { std::raise(SIGHUP); });
+    while (mReads == 0) {
+      mContext.run_one();
+    }
   }
 };
 
