--- a/include/guavaline/views/follow.hpp
+++ b/include/guavaline/views/follow.hpp
@@ -30,7 +30,6 @@
   bool mConnected = true;                 ///< The last call worked.
   std::optional<TimePoint> mFailingSince; ///< Set while calls fail.
   TimePoint mCalled{};                    ///< When the last call ended.
-  TimePoint mOutageEnded{};               ///< When the last outage ended.
   Millis mBackoff{ 0 };                   ///< Pause before the next call.
 };
 
@@ -43,10 +42,12 @@
 [[nodiscard]] bool InOutage(const StoreAccess& aAccess,
                             TimePoint aNow) noexcept;
 
-/// @returns true in an outage and for a while after it: what operators and
-///          targets wanted to write meanwhile takes effect late, or is over
-///          before it was seen
-[[nodiscard]] bool MayHaveMissed(const StoreAccess& aAccess,
+/// @returns true where a view is too old to rely on, and for a while after:
+///          what operators and targets wanted to write during an outage takes
+///          effect late, or is over before it was seen
+/// @param aConfirmed  when the oldest of the views was last confirmed
+/// @param aLastOld    when views were last too old; updated
+[[nodiscard]] bool MayHaveMissed(TimePoint aConfirmed, TimePoint& aLastOld,
                                  TimePoint aNow) noexcept;
 
 /// @returns the pause after a failed call about one kind of object
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -54,6 +54,7 @@
   Roster mRoster;
   std::map<ObjectKind, FollowState> mFollows;
   StoreAccess mStoreAccess; ///< By calls of all kinds.
+  TimePoint mViewsOld{};    ///< When views were last too old to rely on.
   RoundTrips mTrips;
   WarmTable mWarm;
   RegionShare mRegionShare;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -26,9 +26,6 @@
 constexpr int kFreshPart = 19;
 constexpr int kWhole = 20;
 constexpr int kLimitFade = 1'000;
-/// Age of the views above which any target may have become cold unseen;
-/// longer than evacuations are watched apart.
-constexpr Millis kUnseenAge{ 4'500 };
 /// Part of the stop time in which new requests are still taken.
 constexpr int kStopPart = 2;
 
@@ -42,18 +39,13 @@
   return it->second;
 }
 
-/// True where the view of targets and evacuations is too old to rely on, or
-/// the store was away so that it may tell of changes late.
-bool IsUnseen(const Entry& aEntry, TimePoint aNow)
+/// True where changes of targets and evacuations may have been missed.
+bool IsUnseen(Entry& aEntry, TimePoint aNow)
 {
-  for (const auto kind : { ObjectKind::Targets, ObjectKind::Evacuations }) {
-    const auto it = aEntry.mFollows.find(kind);
-    if (it == aEntry.mFollows.end() ||
-        aNow - it->second.mView.mConfirmed > kUnseenAge) {
-      return true;
-    }
-  }
-  return MayHaveMissed(aEntry.mStoreAccess, aNow);
+  const auto& targets = aEntry.mFollows[ObjectKind::Targets].mView;
+  const auto& evacuations = aEntry.mFollows[ObjectKind::Evacuations].mView;
+  return MayHaveMissed(std::min(targets.mConfirmed, evacuations.mConfirmed),
+                       aEntry.mViewsOld, aNow);
 }
 
 ColdBound ColdBoundOf(const Entry& aEntry, const std::string& aService)
--- a/src/views/follow.cpp
+++ b/src/views/follow.cpp
@@ -17,6 +17,9 @@
 constexpr Millis kWatchWhileLost{ 200 };
 /// Registrations can lapse at the store only in outages longer than this.
 constexpr Millis kShortOutage{ 1'000 };
+/// Age of a view above which any target may have become cold unseen; longer
+/// than evacuations are watched apart.
+constexpr Millis kUnseenAge{ 4'500 };
 /// Writes that waited for the store's return are in every view after it.
 constexpr Millis kLateWrites{ 4'000 };
 constexpr Millis kFirstBackoff{ 200 };
@@ -35,8 +38,6 @@
   aAccess.mConnected = aWorked;
   aAccess.mCalled = aNow;
   if (aWorked) {
-    aAccess.mOutageEnded =
-      InOutage(aAccess, aNow) ? aNow : aAccess.mOutageEnded;
     aAccess.mFailingSince.reset();
     aAccess.mBackoff = Millis(0);
     return changed;
@@ -54,10 +55,13 @@
   return aAccess.mFailingSince && aNow - *aAccess.mFailingSince >= kShortOutage;
 }
 
-bool MayHaveMissed(const StoreAccess& aAccess, TimePoint aNow) noexcept
+bool MayHaveMissed(TimePoint aConfirmed, TimePoint& aLastOld,
+                   TimePoint aNow) noexcept
 {
-  return InOutage(aAccess, aNow) || (aAccess.mOutageEnded != TimePoint{} &&
-                                     aNow - aAccess.mOutageEnded < kLateWrites);
+  if (aNow - aConfirmed > kUnseenAge) {
+    aLastOld = aNow;
+  }
+  return aLastOld != TimePoint{} && aNow - aLastOld < kLateWrites;
 }
 
 Millis PauseAfterFailure(const StoreAccess& aAccess, const StoreAccess& aAll,
