Let the share between regions follow where requests go in unrest

A restart of all entries had left lowell short of room; for stability_window requests left it freely, beyond the share that the bucket held, and when the leeway became strict the share still stood near its start and called them back.

Ruled out: capacity (other regions had room, full was 20 to 60 a window), the slew (0.045 a second needs 6 s for what had already moved).

Change: while the leeway is not strict the share follows what runs, within a window; the strict bound begins from there.

--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -69,6 +69,7 @@
   Millis mRun{ 0 };      ///< Expected without waiting.
   bool mFar = false;     ///< In another region than the entry.
   bool mWishFar = false; ///< Would be, if no leeway bound it.
+  bool mStrict = false;  ///< The leeway was strict.
   Millis mClearsIn{ 0 }; ///< When refused: when there should be room.
 };
 
--- a/include/guavaline/placement/region_share.hpp
+++ b/include/guavaline/placement/region_share.hpp
@@ -33,10 +33,12 @@
 /// Sets the share that is expected before anything was sent.
 void ExpectFarShare(RegionShare& aShare, double aFar) noexcept;
 
-/// Notes a request that is sent.
+/// Notes a request that is sent. While the leeway is not strict the share
+/// follows where requests go, so that it binds from there once it is.
 /// @param aWishFar  it would go to another region if nothing bound it
 /// @param aFar      it goes to another region
-void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar,
+/// @param aStrict   the leeway was strict when it was placed
+void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar, bool aStrict,
                 TimePoint aNow) noexcept;
 
 /// Notes a request that is refused because of the leeway: it counts for where
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -221,7 +221,7 @@
   const auto started = Clock::now();
   target->mLoad.mLastSend = started;
   NoteRegion(aEntry.mRegionShare, aPassage.mChoice.mWishFar,
-             aPassage.mChoice.mFar, started);
+             aPassage.mChoice.mFar, aPassage.mChoice.mStrict, started);
   ++aPassage.mSends;
   auto request = ForTarget(aEntry, aPassage, *target, started);
   auto options = OptionsFor(aEntry, aPassage);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -308,6 +308,7 @@
   }
   auto out = best ? best->mChoice : Refuse(field, near, far);
   out.mWishFar = weighed.mWishFar;
+  out.mStrict = aView.mLeeway.mStrict;
   if (!best) {
     out.mRefusal = weighed.mBound ? PlacementRefusal::Bound : out.mRefusal;
     return out;
--- a/src/placement/region_share.cpp
+++ b/src/placement/region_share.cpp
@@ -55,10 +55,13 @@
   }
 }
 
-void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar,
+void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar, bool aStrict,
                 TimePoint aNow) noexcept
 {
   const auto seconds = Follow(aShare, aWishFar, aNow);
+  if (!aStrict) {
+    aShare.mFar += seconds / kWindowSeconds * ((aFar ? 1 : 0) - aShare.mFar);
+  }
   // An average of gaps, since that of rates is drawn to the shortest gaps.
   const double mean =
     aShare.mPerWindow > 0 ? kWindowSeconds / aShare.mPerWindow : seconds;
--- a/tests/unit/region_share_test.cpp
+++ b/tests/unit/region_share_test.cpp
@@ -26,7 +26,7 @@
       const auto leeway = LeewayOf(aShare, kNow, now);
       const bool wish = std::fmod(n * 0.618, 1.0) < aWish;
       const bool leave = wish ? leeway.mMayLeave : !leeway.mMayStay;
-      NoteRegion(aShare, wish, leave, now);
+      NoteRegion(aShare, wish, leave, leeway.mStrict, now);
       far += leave ? 1 : 0;
     }
     out.push_back(far / 200);
@@ -94,7 +94,7 @@
         // Four calm windows, then every request wishes to leave.
         const bool wish = window >= 4;
         const bool leave = wish ? leeway.mMayLeave : !leeway.mMayStay;
-        NoteRegion(it, wish, leave, now);
+        NoteRegion(it, wish, leave, leeway.mStrict, now);
         far += leave ? 1 : 0;
       }
     }
@@ -106,3 +106,30 @@
   }
   cr_assert_gt(shares.back(), 0.5);
 }
+
+// Pattern: after a restart of all entries the own region is short of room and
+// requests leave it freely; once the unrest ends they may not be called back.
+Test(region_share, the_strict_share_starts_from_where_requests_go)
+{
+  RegionShare share;
+  auto now = kNow;
+  const auto send = [&](bool aFar, bool aStrict) {
+    now += 10ms;
+    NoteRegion(share, aFar, aFar, aStrict, now);
+  };
+  for (int n = 0; n < 400; ++n) {
+    send(n % 2 == 0, false);
+  }
+  int left = 0;
+  int bound = 0;
+  for (int n = 0; n < 200; ++n) {
+    const auto leeway = LeewayOf(share, {}, now);
+    cr_assert(leeway.mStrict);
+    const bool wish = n % 2 == 0;
+    bound += wish && !leeway.mMayLeave ? 1 : 0;
+    left += wish && leeway.mMayLeave ? 1 : 0;
+    send(wish && leeway.mMayLeave, true);
+  }
+  cr_assert_leq(bound, 30, "%d of 100 held back", bound);
+  cr_assert_geq(left, 70);
+}
