Send the key of the present record with each call between entries

A connection kept the key that it was opened with, so that the peer refused every later call on it too.

Ruled out: dead entries (all 83 served), slow heartbeats (none arrived in 12 s), stale records (views were current a second after the start).

Change: the key goes with each call. Entries now log which of the region fell silent or are heard again; that line was missing to see this.

--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -19,6 +19,8 @@
 #include <boost/asio/io_context.hpp>
 
 #include <random>
+#include <set>
+#include <string>
 
 namespace guavaline::detail {
 
@@ -52,6 +54,7 @@
   RoutingTable mRouting;
   TargetRegistry mRegistry;
   Roster mRoster;
+  std::set<std::string> mLiveEntries; ///< Of the region, as last logged.
   std::map<ObjectKind, FollowState> mFollows;
   StoreAccess mStoreAccess; ///< By calls of all kinds.
   TimePoint mViewsOld{};    ///< When views were last too old to rely on.
@@ -129,6 +132,9 @@
 /// Keeps the own record in the store and removes those of dead entries.
 boost::asio::awaitable<void> KeepRecords(Entry& aEntry);
 
+/// Logs which entries of the region fell silent or are heard again.
+void NoteLiveEntries(Entry& aEntry, TimePoint aNow);
+
 /// Exchanges heartbeats with the entries of the region.
 boost::asio::awaitable<void> ExchangeHeartbeats(Entry& aEntry);
 
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -77,6 +77,27 @@
 
 } // namespace
 
+void NoteLiveEntries(Entry& aEntry, TimePoint aNow)
+{
+  std::set<std::string> live;
+  for (auto& it : LiveInRegion(aEntry.mRoster, aNow)) {
+    live.insert(std::move(it));
+  }
+  const auto tell = [&](const std::set<std::string>& aSome,
+                        const std::set<std::string>& aNotIn, LogLevel aLevel,
+                        const char* aEvent) {
+    for (const auto& it : aSome) {
+      if (aNotIn.count(it) == 0) {
+        Log(aLevel, aEvent,
+            { { "entry", it }, { "live", std::to_string(live.size()) } });
+      }
+    }
+  };
+  tell(aEntry.mLiveEntries, live, LogLevel::Warning, "entry_silent");
+  tell(live, aEntry.mLiveEntries, LogLevel::Info, "entry_heard");
+  aEntry.mLiveEntries = std::move(live);
+}
+
 asio::awaitable<void> ExchangeHeartbeats(Entry& aEntry)
 {
   for (std::uint64_t turn = 0;; ++turn) {
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -101,6 +101,7 @@
     const auto now = Clock::now();
     ForgetLapsed(aEntry.mRegistry, now);
     ForgetOldCrashes(aEntry.mCrashers, now);
+    NoteLiveEntries(aEntry, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
     aEntry.mTargetClient.DropExpired(now);
--- a/src/peers/peer_link.cpp
+++ b/src/peers/peer_link.cpp
@@ -127,13 +127,12 @@
                         first.index() == 1 ? "timeout" : ec.message());
     }
     socket.set_option(tcp::no_delay(true), ec);
-    session.reset(
-      new PeerSession(std::move(socket), false, std::move(aKey), {}));
+    session.reset(new PeerSession(std::move(socket), false, {}, {}));
     mSessions[name] = session;
     asio::co_spawn(mExecutor, RunSession(session), asio::detached);
   }
   co_return co_await session->Call(name, std::move(aKind), std::move(aBody),
-                                   aTimeout);
+                                   aTimeout, std::move(aKey));
 }
 
 PeerServer::PeerServer() = default;
--- a/src/peers/peer_session.cpp
+++ b/src/peers/peer_session.cpp
@@ -295,14 +295,15 @@
 
 asio::awaitable<PeerReply> PeerSession::Call(std::string aPeer,
                                              std::string aKind,
-                                             std::string aBody, Millis aTimeout)
+                                             std::string aBody, Millis aTimeout,
+                                             std::string aKey)
 {
   const boost::intrusive_ptr<PeerSession> self(this);
   const auto started = Clock::now();
   auto stream = std::make_shared<PeerStream>(mSocket.get_executor());
   stream->mToSend = std::move(aBody);
   const auto path = std::string(kKindPrefix) + aKind;
-  const auto authorization = std::string(kBearer) + mKey;
+  const auto authorization = std::string(kBearer) + aKey;
   const std::array<nghttp2_nv, 5> fields{
     MakeField(":method", "POST"), MakeField(":scheme", "http"),
     MakeField(":authority", aPeer), MakeField(":path", path),
--- a/src/peers/peer_session.hpp
+++ b/src/peers/peer_session.hpp
@@ -38,6 +38,7 @@
 {
 public:
   /// @param aServer  true for the side that accepted the connection
+  /// @param aKey     key that calls must carry, on the accepting side
   PeerSession(boost::asio::ip::tcp::socket aSocket, bool aServer,
               std::string aKey, PeerHandler aHandler);
   ~PeerSession();
@@ -48,8 +49,10 @@
 
   /// Reads until the connection ends.
   boost::asio::awaitable<void> Run();
+  /// @param aKey  the peer's key, which changes when the peer restarts
   boost::asio::awaitable<PeerReply> Call(std::string aPeer, std::string aKind,
-                                         std::string aBody, Millis aTimeout);
+                                         std::string aBody, Millis aTimeout,
+                                         std::string aKey);
   void Close();
   [[nodiscard]] bool IsOpen() const { return mSocket.is_open(); }
 
