Make one copy of test children, loopback addresses, entry settings and times

EntryChild and LoopbackAddress serve the failure tests and the soak; EntrySettingsOf serves the tests of an entry; MillisText replaces two copies and five places. A reload reads the settings once, and a look that finds mistakes logs them (it said nothing before).

--- a/include/guavaline/core/time.hpp
+++ b/include/guavaline/core/time.hpp
@@ -3,6 +3,7 @@
 /// Time types shared by every slice.
 
 #include <chrono>
+#include <string>
 
 namespace guavaline {
 
@@ -16,4 +17,10 @@
 using Millis = std::chrono::milliseconds;
 using Seconds = std::chrono::seconds;
 
+/// @returns the number of milliseconds, for logs and headers
+[[nodiscard]] inline std::string MillisText(Millis aTime)
+{
+  return std::to_string(aTime.count());
+}
+
 } // namespace guavaline
--- a/src/callers/caller.cpp
+++ b/src/callers/caller.cpp
@@ -142,7 +142,7 @@
     request.mHeaders = { { kPlaceHeader, mPlace },
                          { kIdentityHeader, out.mIdentity },
                          { kAttemptHeader, std::to_string(n + 1) },
-                         { kTimeoutHeader, std::to_string(left.count()) } };
+                         { kTimeoutHeader, MillisText(left) } };
     ExchangeOptions options;
     options.mDeadline = deadline;
     options.mReuseWithin = kReuse;
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -15,11 +15,6 @@
 /// Ages above this are logged as this.
 constexpr Millis kMostAge{ 600'000 };
 
-std::string Text(Millis aTime)
-{
-  return std::to_string(aTime.count());
-}
-
 } // namespace
 
 HttpResponse Reject(const Entry& aEntry, const Passage& aPassage,
@@ -64,26 +59,27 @@
   const auto& choice = aPassage.mChoice;
   const std::string target =
     choice.mTarget ? choice.mTarget->mRegistration.mId : "";
-  LogBounded(good ? LogClass::Routine : LogClass::Failure, LogLevel::Info,
-             "request_ended",
-             { { "request", aPassage.mId },
-               { "route", aPassage.mRoute.mName },
-               { "service", aPassage.mService },
-               { "status", std::to_string(aStatus) },
-               { "reason", aReason },
-               { "object", HexId(aPassage.mKey) },
-               { "target", target },
-               { "sends", std::to_string(aPassage.mSends) },
-               { "returning", aPassage.mReturning ? "yes" : "no" },
-               { "warmth", std::to_string(static_cast<int>(choice.mWarmth)) },
-               { "wait_ms", Text(choice.mWait) },
-               { "run_ms", Text(choice.mRun) },
-               { "took_ms", Text(std::chrono::duration_cast<Millis>(took)) },
-               { "left_ms", Text(std::chrono::duration_cast<Millis>(
-                              aPassage.mDeadline - aNow)) },
-               { "configuration", std::to_string(aPassage.mVersion) },
-               { "view_revision", std::to_string(view.mRevision) },
-               { "view_age_ms", Text(viewAge) } });
+  LogBounded(
+    good ? LogClass::Routine : LogClass::Failure, LogLevel::Info,
+    "request_ended",
+    { { "request", aPassage.mId },
+      { "route", aPassage.mRoute.mName },
+      { "service", aPassage.mService },
+      { "status", std::to_string(aStatus) },
+      { "reason", aReason },
+      { "object", HexId(aPassage.mKey) },
+      { "target", target },
+      { "sends", std::to_string(aPassage.mSends) },
+      { "returning", aPassage.mReturning ? "yes" : "no" },
+      { "warmth", std::to_string(static_cast<int>(choice.mWarmth)) },
+      { "wait_ms", MillisText(choice.mWait) },
+      { "run_ms", MillisText(choice.mRun) },
+      { "took_ms", MillisText(std::chrono::duration_cast<Millis>(took)) },
+      { "left_ms", MillisText(std::chrono::duration_cast<Millis>(
+                     aPassage.mDeadline - aNow)) },
+      { "configuration", std::to_string(aPassage.mVersion) },
+      { "view_revision", std::to_string(view.mRevision) },
+      { "view_age_ms", MillisText(viewAge) } });
 }
 
 } // namespace guavaline::detail
--- a/src/entry/reload.cpp
+++ b/src/entry/reload.cpp
@@ -43,43 +43,43 @@
   return out;
 }
 
-void Reload(Entry& aEntry, const char* aWhy)
+/// True where settings differ that may change while the process runs.
+bool HaveChanged(const EntrySettings& aOld, const EntrySettings& aNew)
+{
+  return !(aOld.mBounds == aNew.mBounds && aOld.mLimits == aNew.mLimits &&
+           aOld.mDomains == aNew.mDomains);
+}
+
+/// Reads the settings and takes in what changed.
+/// @param aAsked  by a signal; logged then also where nothing changed
+void Reload(Entry& aEntry, bool aAsked)
 {
   EntrySettings settings;
   const auto problems = aEntry.mPlatform.mReadSettings(settings);
-  if (!problems.empty()) {
-    // The settings in force stay; all problems are told, once a change.
-    for (const auto& it : problems) {
-      Log(LogLevel::Error, "settings_refused",
-          { { "why", aWhy }, { "problem", it.Describe() } });
-    }
+  const char* why = aAsked ? "signal" : "file";
+  for (const auto& it : problems) {
+    // The settings in force stay.
+    Log(LogLevel::Error, "settings_refused",
+        { { "why", why }, { "problem", it.Describe() } });
+  }
+  if (!problems.empty() ||
+      (!aAsked && !HaveChanged(aEntry.mSettings, settings))) {
     return;
   }
   const bool changed = TakeSettings(aEntry, settings);
   Log(LogLevel::Info, "reloaded",
-      { { "why", aWhy },
+      { { "why", why },
         { "changed", changed ? "yes" : "no" },
         { "needs_restart", FixedDifference(aEntry.mSettings, settings) },
         { "configuration", std::to_string(aEntry.mRouting.mVersion) } });
 }
 
-/// True where the settings on file read well and differ from those in force.
-bool HaveChanged(const Entry& aEntry)
-{
-  EntrySettings settings;
-  return aEntry.mPlatform.mReadSettings(settings).empty() &&
-         !(settings.mBounds == aEntry.mSettings.mBounds &&
-           settings.mLimits == aEntry.mSettings.mLimits &&
-           settings.mDomains == aEntry.mSettings.mDomains);
-}
-
 } // namespace
 
 bool TakeSettings(Entry& aEntry, const EntrySettings& aNew)
 {
   auto& present = aEntry.mSettings;
-  if (present.mBounds == aNew.mBounds && present.mLimits == aNew.mLimits &&
-      present.mDomains == aNew.mDomains) {
+  if (!HaveChanged(present, aNew)) {
     return false;
   }
   present.mBounds = aNew.mBounds;
@@ -105,11 +105,7 @@
     timer.expires_after(kLookPeriod);
     const auto first = co_await (signals.async_wait(asio::use_awaitable) ||
                                  timer.async_wait(asio::use_awaitable));
-    if (first.index() == 0) {
-      Reload(aEntry, "signal");
-    } else if (HaveChanged(aEntry)) {
-      Reload(aEntry, "file");
-    }
+    Reload(aEntry, first.index() == 0);
   }
 }
 
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -27,11 +27,6 @@
 /// route.
 constexpr double kSlowRun = 1.5;
 
-std::string Text(Millis aTime)
-{
-  return std::to_string(aTime.count());
-}
-
 /// Counts a request in flight at a target while it lives.
 class FlightCount
 {
@@ -73,7 +68,7 @@
   }
   const auto left =
     std::chrono::duration_cast<Millis>(aPassage.mDeadline - aNow);
-  out.mHeaders.push_back({ names.mTimeLeft, Text(left) });
+  out.mHeaders.push_back({ names.mTimeLeft, MillisText(left) });
   out.mHeaders.push_back({ names.mTargetId, aTarget.mRegistration.mId });
   return out;
 }
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -52,7 +52,7 @@
   }
   const auto left =
     std::chrono::duration_cast<Millis>(aDeadline - Clock::now());
-  out.mHeaders.push_back({ kTimeoutHeader, std::to_string(left.count()) });
+  out.mHeaders.push_back({ kTimeoutHeader, MillisText(left) });
   out.mHeaders.push_back({ kFromHeader, aNode.mSettings.mRegion });
   if (!aCall.mIdentity.empty()) {
     out.mHeaders.push_back({ kIdentityHeader, aCall.mIdentity });
--- a/src/platform/store_client.cpp
+++ b/src/platform/store_client.cpp
@@ -81,7 +81,7 @@
 {
   const auto target = "/watch?prefix=" + EncodeParameter(aPrefix) +
                       "&from=" + std::to_string(aFrom) +
-                      "&wait_ms=" + std::to_string(aWait.count());
+                      "&wait_ms=" + MillisText(aWait);
   co_return co_await Read(aStore, MakeGet(target), aWait + kWatchGrace);
 }
 
--- a/testing/cluster/cluster.cpp
+++ b/testing/cluster/cluster.cpp
@@ -1,5 +1,6 @@
 #include "cluster/cluster.hpp"
 
+#include "cluster/entry_child.hpp"
 #include "daemon/settings.hpp"
 #include "daemon/status_wire.hpp"
 
@@ -10,23 +11,16 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/process/child.hpp>
-#include <boost/process/extend.hpp>
-#include <boost/process/handles.hpp>
-#include <boost/process/io.hpp>
 
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <future>
-#include <sys/prctl.h>
 #include <unistd.h>
 
 namespace guavaline::testing {
 
-namespace process = boost::process;
-
 namespace {
 
 constexpr const char* kKey = "cluster-test-key-0123456789";
@@ -34,6 +28,7 @@
 constexpr Millis kPoll{ 50 };
 constexpr Millis kStartBound{ 60'000 };
 constexpr Seconds kExitBound{ 60 };
+constexpr LoopbackNets kNets{ 64, 128 };
 constexpr unsigned kStoreHost = 250;
 constexpr unsigned kTargetHost = 200;
 
@@ -54,25 +49,6 @@
 
 } // namespace
 
-/// A running guavalined. It ends with the test, also where a failed assertion
-/// leaves the test without running destructors. It must not inherit the
-/// stand-ins' sockets, which would stay open in it after a stand-in closed
-/// them.
-class EntryProcess
-{
-public:
-  EntryProcess(const std::string& aSettings, const std::string& aLog)
-    : mChild(
-        GUAVALINED_PATH, "--settings", aSettings, process::limit_handles,
-        process::std_out > process::null, process::std_err > aLog,
-        process::extend::on_exec_setup = [](auto&) {
-          ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        })
-  {
-  }
-  process::child mChild;
-};
-
 void Pause(Millis aTime)
 {
   std::this_thread::sleep_for(aTime);
@@ -87,16 +63,15 @@
 {
   std::filesystem::create_directories(mDirectory);
   mAccepted.mConfiguration = MakeConfiguration();
-  mStoreEndpoint = { Address(kStoreHost), 0 };
+  mStoreEndpoint = { LoopbackAddress(kNets, kStoreHost), 0 };
   mStoreEndpoint.mPort = mPorts.Pick(mStoreEndpoint.mAddress);
 }
 
 Cluster::~Cluster()
 {
   for (auto& [name, entry] : mEntries) {
-    if (entry && entry->mChild.running()) {
-      ::kill(entry->mChild.id(), SIGKILL);
-      entry->mChild.wait();
+    if (entry) {
+      entry->Kill();
     }
   }
   for (auto& it : mLoads) {
@@ -112,17 +87,6 @@
   std::filesystem::remove_all(mDirectory, ec);
 }
 
-std::string Cluster::Address(unsigned aHost) const
-{
-  // Each test process has loopback addresses of its own.
-  constexpr unsigned kFirstNet = 64;
-  constexpr unsigned kNets = 128;
-  constexpr unsigned kByte = 256;
-  const auto pid = static_cast<unsigned>(::getpid());
-  return "127." + std::to_string(kFirstNet + (pid / kByte) % kNets) + "." +
-         std::to_string(pid % kByte) + "." + std::to_string(aHost);
-}
-
 Configuration Cluster::MakeConfiguration()
 {
   Answers answers;
@@ -139,7 +103,7 @@
       const auto domain = region.mName + static_cast<char>('a' + k);
       region.mFailureDomains.push_back(domain);
       for (std::size_t e = 0; e < mOptions.mEntriesPerDomain; ++e) {
-        const auto address = Address(++host);
+        const auto address = LoopbackAddress(kNets, ++host);
         answers.mEntries.push_back({ domain + std::to_string(e + 1), address,
                                      mPorts.Pick(address), mPorts.Pick(address),
                                      region.mName, domain });
@@ -148,7 +112,8 @@
       group.mRegion = region.mName;
       group.mFailureDomain = domain;
       group.mCount = static_cast<std::uint32_t>(mOptions.mTargetsPerDomain);
-      group.mAddress = Address(kTargetHost + static_cast<unsigned>(n * 8 + k));
+      group.mAddress =
+        LoopbackAddress(kNets, kTargetHost + static_cast<unsigned>(n * 8 + k));
       group.mFirstPort = 20'000;
       service.mTargetGroups.push_back(std::move(group));
     }
@@ -263,25 +228,23 @@
   }
   const auto path = mDirectory + "/" + aName + ".yaml";
   std::ofstream(path) << detail::SettingsYaml(settings);
-  mEntries[aName] =
-    std::make_unique<EntryProcess>(path, mDirectory + "/" + aName + ".log");
+  mEntries[aName] = std::make_unique<EntryChild>(
+    GUAVALINED_PATH, path, EntryLog::Errors, mDirectory + "/" + aName + ".log");
 }
 
 void Cluster::KillEntry(const std::string& aName)
 {
-  auto& child = mEntries[aName]->mChild;
-  ::kill(child.id(), SIGKILL);
-  child.wait();
+  mEntries[aName]->Kill();
 }
 
 void Cluster::PauseEntry(const std::string& aName)
 {
-  ::kill(mEntries[aName]->mChild.id(), SIGSTOP);
+  mEntries[aName]->Signal(SIGSTOP);
 }
 
 void Cluster::ResumeEntry(const std::string& aName)
 {
-  ::kill(mEntries[aName]->mChild.id(), SIGCONT);
+  mEntries[aName]->Signal(SIGCONT);
 }
 
 void Cluster::StopEntry(const std::string& aName)
@@ -290,20 +253,13 @@
   event.mKind = EventKind::StopPlanned;
   event.mPeer = aName;
   mHistory.Add(std::move(event));
-  ::kill(mEntries[aName]->mChild.id(), SIGTERM);
+  mEntries[aName]->Signal(SIGTERM);
 }
 
 int Cluster::AwaitExit(const std::string& aName)
 {
-  auto& child = mEntries[aName]->mChild;
-  const auto end = Clock::now() + kExitBound;
-  while (child.running() && Clock::now() < end) {
-    Pause(kPoll);
-  }
-  if (child.running() || WIFSIGNALED(child.native_exit_code())) {
-    return -1;
-  }
-  return child.exit_code();
+  auto& entry = *mEntries[aName];
+  return entry.AwaitEnd(kExitBound) ? entry.ExitCode() : -1;
 }
 
 detail::HttpResponse Cluster::AskEntry(const std::string& aName,
--- a/testing/cluster/cluster.hpp
+++ b/testing/cluster/cluster.hpp
@@ -35,7 +35,7 @@
   std::uint64_t mSeed = 1;
 };
 
-class EntryProcess;
+class EntryChild;
 
 class Cluster
 {
@@ -103,7 +103,6 @@
 
 private:
   Configuration MakeConfiguration();
-  std::string Address(unsigned aHost) const;
   void OnStandins(const std::function<void()>& aDo);
 
   ClusterOptions mOptions;
@@ -117,7 +116,7 @@
   std::thread mStandins;
   std::vector<std::thread> mLoads;
   AcceptedConfiguration mAccepted;
-  std::map<std::string, std::unique_ptr<EntryProcess>> mEntries;
+  std::map<std::string, std::unique_ptr<EntryChild>> mEntries;
 };
 
 /// Waits on the wall.
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -1,26 +1,21 @@
 #include "soak/world.hpp"
 
+#include "cluster/entry_child.hpp"
+
 #include <guavaline/core/hash.hpp>
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/process/child.hpp>
-#include <boost/process/extend.hpp>
-#include <boost/process/handles.hpp>
-#include <boost/process/io.hpp>
 
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <future>
-#include <sys/prctl.h>
-#include <unistd.h>
 
 namespace guavaline::testing {
 
 namespace json = boost::json;
-namespace process = boost::process;
 
 namespace {
 
@@ -32,9 +27,9 @@
 constexpr std::uint16_t kTargetPort = 9'000;
 constexpr std::uint16_t kTargetProxyPort = 19'000;
 constexpr std::uint16_t kStorePort = 8169;
+constexpr LoopbackNets kNets{ 192, 60 };
 constexpr unsigned kStoreHost = 254;
 constexpr unsigned kFirstTargetHost = 100;
-constexpr Millis kEndPoll{ 20 };
 constexpr Millis kSettle{ 1'000 };
 const char* const kServices[] = { "alpha", "beta" };
 
@@ -93,30 +88,12 @@
 
 } // namespace
 
-/// A running guavaline-entry. It ends with the soak, however that ends, and
-/// must not inherit the stand-ins' sockets.
-class EntryChild
-{
-public:
-  EntryChild(const std::string& aProgram, const std::string& aSettings,
-             const std::string& aLog)
-    : mChild(
-        aProgram, "--settings", aSettings, process::limit_handles,
-        process::std_out > aLog, process::std_err > process::null,
-        process::extend::on_exec_setup = [](auto&) {
-          ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        })
-  {
-  }
-  process::child mChild;
-};
-
 World::World(const WorldOptions& aOptions)
   : mOptions(aOptions)
   , mStore(mContext, aOptions.mSeed)
 {
   std::filesystem::create_directories(mOptions.mDirectory);
-  mStoreAt = { Address(kStoreHost), kStorePort };
+  mStoreAt = { LoopbackAddress(kNets, kStoreHost), kStorePort };
   MakeEntries();
   MakeTargets();
 }
@@ -126,23 +103,12 @@
   Stop();
 }
 
-std::string World::Address(unsigned aHost) const
-{
-  // Each process that soaks has loopback addresses of its own.
-  constexpr unsigned kFirstNet = 192;
-  constexpr unsigned kNets = 60;
-  constexpr unsigned kByte = 256;
-  const auto pid = static_cast<unsigned>(::getpid());
-  return "127." + std::to_string(kFirstNet + (pid / kByte) % kNets) + "." +
-         std::to_string(pid % kByte) + "." + std::to_string(aHost);
-}
-
 void World::MakeEntries()
 {
   unsigned host = 0;
   for (std::size_t n = 0; n < mOptions.mRegions; ++n) {
     for (std::size_t k = 0; k < mOptions.mEntriesPerRegion; ++k) {
-      const auto address = Address(++host);
+      const auto address = LoopbackAddress(kNets, ++host);
       const auto region = "region" + std::to_string(n + 1);
       mEntries.push_back({ "entry" + std::to_string(host),
                            region,
@@ -166,8 +132,8 @@
       TargetPlace place;
       place.mZone =
         "region" + std::to_string(n + 1) + (k % 4 < 2 ? "-a" : "-b");
-      place.mListen = { Address(host), kTargetPort };
-      place.mProxyAt = { Address(host), kTargetProxyPort };
+      place.mListen = { LoopbackAddress(kNets, host), kTargetPort };
+      place.mProxyAt = { LoopbackAddress(kNets, host), kTargetProxyPort };
       ++host;
       place.mProxy = std::make_unique<SoakProxy>(mContext, place.mListen);
       place.mTarget = std::make_unique<PlatformTarget>(
@@ -232,10 +198,9 @@
 
 void World::Stop()
 {
-  for (std::size_t n = 0; n < mChildren.size(); ++n) {
-    if (IsRunning(n)) {
-      Signal(n, SIGKILL);
-      mChildren[n]->mChild.wait();
+  for (auto& it : mChildren) {
+    if (it) {
+      it->Kill();
     }
   }
   if (!mThread.joinable()) {
@@ -294,29 +259,25 @@
   const auto path = WriteSettings(aEntry);
   const auto log = mOptions.mDirectory + "/" + mEntries[aEntry].mName + "-" +
                    std::to_string(NowMicros()) + ".log";
-  mChildren[aEntry] =
-    std::make_unique<EntryChild>(mOptions.mProgram, path, log);
+  mChildren[aEntry] = std::make_unique<EntryChild>(mOptions.mProgram, path,
+                                                   EntryLog::Output, log);
 }
 
 bool World::IsRunning(std::size_t aEntry)
 {
-  return mChildren[aEntry] && mChildren[aEntry]->mChild.running();
+  return mChildren[aEntry] && mChildren[aEntry]->IsRunning();
 }
 
 void World::Signal(std::size_t aEntry, int aSignal)
 {
-  if (IsRunning(aEntry)) {
-    ::kill(mChildren[aEntry]->mChild.id(), aSignal);
+  if (mChildren[aEntry]) {
+    mChildren[aEntry]->Signal(aSignal);
   }
 }
 
 bool World::AwaitEnd(std::size_t aEntry, Millis aBound)
 {
-  const auto end = Clock::now() + aBound;
-  while (IsRunning(aEntry) && Clock::now() < end) {
-    std::this_thread::sleep_for(kEndPoll);
-  }
-  return !IsRunning(aEntry);
+  return !mChildren[aEntry] || mChildren[aEntry]->AwaitEnd(aBound);
 }
 
 void World::SetStore(const PlatformStoreFaults& aFaults)
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -99,7 +99,6 @@
     std::uint64_t mSequence = 0;
   };
 
-  [[nodiscard]] std::string Address(unsigned aHost) const;
   void OnWorld(const std::function<void()>& aDo);
   void Register(TargetPlace& aPlace, const char* aState);
   [[nodiscard]] std::string WriteSettings(std::size_t aEntry) const;
--- a/tests/unit/fixtures.cpp
+++ b/tests/unit/fixtures.cpp
@@ -25,6 +25,16 @@
   return Generate(answers);
 }
 
+detail::EntrySettings EntrySettingsOf(const std::string& aName)
+{
+  detail::EntrySettings out;
+  out.mName = aName;
+  out.mFailureDomain = "d1";
+  out.mRegion = "r1";
+  out.mDomains = { { "d1", "r1" } };
+  return out;
+}
+
 Service OneRegionService(std::uint32_t aTargets, std::uint32_t aSlots)
 {
   Service out;
--- a/tests/unit/fixtures.hpp
+++ b/tests/unit/fixtures.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
-/// Configurations for tests.
+/// Configurations and settings for tests.
+
+#include "entry/settings.hpp"
 
 #include <guavaline/configuration/questionnaire.hpp>
 
@@ -12,6 +14,9 @@
 /// @returns a service with targets in region "r1"
 Service OneRegionService(std::uint32_t aTargets, std::uint32_t aSlots);
 
+/// @returns settings of an entry in domain "d1" of region "r1"
+detail::EntrySettings EntrySettingsOf(const std::string& aName);
+
 /// @returns the text of a file of the repository
 std::string ReadRepositoryFile(const std::string& aPath);
 
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry.hpp"
 
+#include "fixtures.hpp"
 #include "scripted_server.hpp"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -37,21 +38,11 @@
   return out;
 }
 
-EntrySettings MakeSettings()
-{
-  EntrySettings out;
-  out.mName = "e1";
-  out.mFailureDomain = "d1";
-  out.mRegion = "r1";
-  out.mDomains = { { "d1", "r1" } };
-  return out;
-}
-
 /// An entry with one or more targets and one route.
 struct Bed
 {
   asio::io_context mContext{ 1 };
-  Entry mEntry{ mContext, MakeSettings(), MakeAdapter() };
+  Entry mEntry{ mContext, tests::EntrySettingsOf("e1"), MakeAdapter() };
   std::vector<std::unique_ptr<ScriptedServer>> mTargets;
 
   explicit Bed(RequestKind aKind)
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -1,5 +1,7 @@
 #include "entry/messages.hpp"
 
+#include "fixtures.hpp"
+
 #include <criterion/criterion.h>
 
 using namespace guavaline;
@@ -15,20 +17,13 @@
   Entry mEntry;
 
   explicit Bed(const std::string& aName)
-    : mEntry(mContext, MakeSettings(aName), MakeAdapter())
+    : mEntry(mContext, tests::EntrySettingsOf(aName), MakeAdapter())
   {
     auto& view = mEntry.mFollows[ObjectKind::Entries].mView;
     TakeListing(view, {}, 10);
     Confirm(view, Clock::now());
   }
 
-  static EntrySettings MakeSettings(const std::string& aName)
-  {
-    EntrySettings out;
-    out.mName = aName;
-    return out;
-  }
-
   static PlatformAdapter MakeAdapter()
   {
     PlatformAdapter out;
--- a/tests/unit/reload_test.cpp
+++ b/tests/unit/reload_test.cpp
@@ -1,5 +1,7 @@
 #include "entry/entry.hpp"
 
+#include "fixtures.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -16,27 +18,17 @@
 
 namespace asio = boost::asio;
 
-EntrySettings MakeSettings()
-{
-  EntrySettings out;
-  out.mName = "e1";
-  out.mFailureDomain = "d1";
-  out.mRegion = "r1";
-  out.mDomains = { { "d1", "r1" } };
-  return out;
-}
-
 /// An entry whose settings on file can be changed.
 struct Bed
 {
   asio::io_context mContext{ 1 };
-  EntrySettings mOnFile = MakeSettings();
+  EntrySettings mOnFile = tests::EntrySettingsOf("e1");
   Problems mProblems;
   int mReads = 0;
   Entry mEntry;
 
   Bed()
-    : mEntry(mContext, MakeSettings(), MakeAdapter())
+    : mEntry(mContext, tests::EntrySettingsOf("e1"), MakeAdapter())
   {
     cr_assert(mEntry.mCallerServer
                 .Listen(mContext, "127.0.0.1", 0,
@@ -107,7 +99,7 @@
   SetRetryBounds(bed.mEntry, budget);
   budget.mTokens = budget.mMost;
   const double before = budget.mTokens;
-  auto settings = MakeSettings();
+  auto settings = tests::EntrySettingsOf("e1");
   settings.mBounds.mRetrySlack = 6;
   cr_assert(TakeSettings(bed.mEntry, settings));
   cr_assert_lt(budget.mTokens, before);
