Lead callers to few entries of a large region, as many as the load needs

A heartbeat carried 95 bytes for each entry of the region. Change: heartbeats tell each entry's rate of requests, records tell what its host can bear; look-ups name the smallest set, largest hosts first and two of each failure domain at least, in which none gets more than 0.35 of that. More load is followed at once, less with a half-life of 5 s. What targets served is told to this set alone. Heartbeats name entries by numbers.

--- a/include/guavaline/roster/roster.hpp
+++ b/include/guavaline/roster/roster.hpp
@@ -5,6 +5,7 @@
 /// told of live entries of their own region.
 
 #include <guavaline/core/time.hpp>
+#include <guavaline/roster/serving.hpp>
 
 #include <cstdint>
 #include <map>
@@ -24,6 +25,7 @@
   std::string mPeerKey;       ///< Calls to it carry this key.
   std::string mFailureDomain;
   std::string mRegion;
+  double mCapacity = 0; ///< Requests a second that it can bear; 0 if not told.
   std::uint64_t mRevision = 0; ///< Of the stored object.
 
   bool operator==(const EntryRecord&) const = default;
@@ -36,6 +38,7 @@
   std::uint64_t mCounter = 0; ///< Of its heartbeats.
   TimePoint mHeard{};         ///< When the counter or record last was new.
   bool mLeaving = false;
+  double mRate = 0; ///< Requests a second that it serves.
 };
 
 /// News of one entry in heartbeats.
@@ -45,12 +48,17 @@
   std::uint64_t mIncarnation = 0;
   std::uint64_t mCounter = 0;
   bool mLeaving = false;
+  double mRate = 0;
 };
 
 struct Roster
 {
   EntryRecord mSelf;
   std::uint64_t mOwnCounter = 1;
+  double mOwnRate = 0; ///< Requests a second that this entry serves.
+  RegionRate mRegionRate;
+  /// Entries of the own region that callers are led to, itself maybe included.
+  std::set<std::string> mServing;
   bool mLeaving = false;
   std::map<std::string, RosterEntry> mOthers; ///< By name.
   std::size_t mMostSeen = 1; ///< Most entries known at once in this life.
@@ -103,6 +111,18 @@
                                                   const std::string& aRegion,
                                                   TimePoint aNow);
 
+/// Chooses anew which live entries of the own region callers are led to.
+void UpdateServing(Roster& aRoster, TimePoint aNow);
+
+/// @returns the other entries of the region that serve callers
+[[nodiscard]] std::vector<EntryRecord> ServingPeers(const Roster& aRoster,
+                                                    TimePoint aNow);
+
+/// @returns how many entries of the region may send requests now; some that
+///          callers are no longer led to still do
+[[nodiscard]] std::size_t CountSending(const Roster& aRoster,
+                                       TimePoint aNow) noexcept;
+
 /// @returns how many entries share limits; never below what was seen
 [[nodiscard]] std::size_t SharingEntries(const Roster& aRoster) noexcept;
 
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -75,6 +75,7 @@
   HttpServer mMetricsServer;
   PeerServer mPeerServer;
   bool mRecordWritten = false;        ///< The own record is in the store.
+  std::uint64_t mTaken = 0;           ///< Requests since the last heartbeat.
   std::optional<TimePoint> mStopping; ///< When SIGTERM came.
 };
 
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -66,7 +66,7 @@
     aEntry.mRoutes[aPassage.mRoute.mName].mRunTimes,
     ColdBoundOf(aEntry, aPassage.mService),
     SharingEntries(aEntry.mRoster),
-    CountLiveInRegion(aEntry.mRoster, aNow),
+    CountSending(aEntry.mRoster, aNow),
     IsUnseen(aEntry, aNow),
     LeewayOf(aEntry.mRegionShare,
              std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow)
@@ -219,6 +219,7 @@
 {
   Passage passage;
   const auto now = Clock::now();
+  ++aEntry.mTaken;
   passage.mArrived = aRequest.mArrived;
   passage.mId =
     FindHeader(aRequest.mHeaders, aEntry.mPlatform.mHeaders.mRequestId);
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/detached.hpp>
 
 #include <charconv>
+#include <unordered_map>
+#include <utility>
 
 namespace guavaline::detail {
 
@@ -20,12 +22,16 @@
 constexpr Millis kRecordCheck{ 3'000 };
 constexpr std::size_t kMostCrashersTold = 8;
 constexpr int kHexBase = 16;
+/// Weight of the requests of one heartbeat period in the rate.
+constexpr double kRateWeight = 0.5;
+/// Leaves 40 of the 63 bits of an incarnation.
+constexpr unsigned kShortIdShift = 23;
 
 std::string MakeHeartbeat(Entry& aEntry)
 {
   const auto now = Clock::now();
   EntryHeartbeat out;
-  out.mNews = TellNews(aEntry.mRoster, now);
+  out.mRegion = PackNews(TellNews(aEntry.mRoster, now));
   out.mViews = TellViews(aEntry, now);
   for (const auto it : ListCrashers(aEntry.mCrashers, now, kMostCrashersTold)) {
     out.mCrashers.push_back(HexId(it));
@@ -43,8 +49,12 @@
   if (!FromJson(aBody, heartbeat).empty()) {
     return std::nullopt;
   }
+  const auto news = UnpackNews(aEntry.mRoster, heartbeat.mRegion);
+  if (!news) {
+    return std::nullopt;
+  }
   const auto now = Clock::now();
-  HearNews(aEntry.mRoster, heartbeat.mNews, now);
+  HearNews(aEntry.mRoster, *news, now);
   for (const auto& it : heartbeat.mCrashers) {
     std::uint64_t digest = 0;
     const auto* end = it.data() + it.size();
@@ -75,8 +85,63 @@
   }
 }
 
+/// Takes in the requests since the last heartbeat.
+void NoteOwnRate(Entry& aEntry)
+{
+  const std::chrono::duration<double> period = kHeartbeatPeriod;
+  const double rate =
+    static_cast<double>(std::exchange(aEntry.mTaken, 0)) / period.count();
+  auto& own = aEntry.mRoster.mOwnRate;
+  own += kRateWeight * (rate - own);
+}
+
 } // namespace
 
+std::uint64_t ShortId(std::uint64_t aIncarnation) noexcept
+{
+  return aIncarnation >> kShortIdShift;
+}
+
+RegionNews PackNews(const std::vector<EntryNews>& aNews)
+{
+  RegionNews out;
+  for (const auto& it : aNews) {
+    const auto id = ShortId(it.mIncarnation);
+    out.mEntries.push_back(id);
+    out.mCounters.push_back(it.mCounter);
+    out.mRates.push_back(static_cast<std::uint64_t>(it.mRate + 0.5));
+    if (it.mLeaving) {
+      out.mLeaving.push_back(id);
+    }
+  }
+  return out;
+}
+
+std::optional<std::vector<EntryNews>> UnpackNews(const Roster& aRoster,
+                                                 const RegionNews& aNews)
+{
+  const auto n = aNews.mEntries.size();
+  if (aNews.mCounters.size() != n || aNews.mRates.size() != n) {
+    return std::nullopt;
+  }
+  std::unordered_map<std::uint64_t, const EntryRecord*> known;
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    known.emplace(ShortId(entry.mRecord.mIncarnation), &entry.mRecord);
+  }
+  const std::set<std::uint64_t> leaving(aNews.mLeaving.begin(),
+                                        aNews.mLeaving.end());
+  std::vector<EntryNews> out;
+  for (std::size_t k = 0; k < n; ++k) {
+    const auto it = known.find(aNews.mEntries[k]);
+    if (it != known.end()) {
+      out.push_back({ it->second->mName, it->second->mIncarnation,
+                      aNews.mCounters[k], leaving.count(it->first) > 0,
+                      static_cast<double>(aNews.mRates[k]) });
+    }
+  }
+  return out;
+}
+
 void NoteLiveEntries(Entry& aEntry, TimePoint aNow)
 {
   std::set<std::string> live;
@@ -102,6 +167,7 @@
 {
   for (std::uint64_t turn = 0;; ++turn) {
     ++aEntry.mRoster.mOwnCounter;
+    NoteOwnRate(aEntry);
     for (const auto& it : PeersToCall(aEntry.mRoster, turn)) {
       asio::co_spawn(aEntry.mContext, CallPeer(aEntry, it), asio::detached);
     }
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -7,8 +7,6 @@
 
 namespace guavaline {
 
-BOOST_DESCRIBE_STRUCT(EntryNews, (), (mName, mIncarnation, mCounter, mLeaving))
-
 namespace detail {
 
 BOOST_DESCRIBE_ENUM(ObjectKind, Routing, Targets, Evacuations, Entries)
@@ -32,10 +30,20 @@
   Millis mAge{ 0 };
 };
 
+/// News of the entries of a region. An item is some ten bytes long: each
+/// heartbeat carries one for every entry.
+struct RegionNews
+{
+  std::vector<std::uint64_t> mEntries; ///< By ShortId.
+  std::vector<std::uint64_t> mCounters;
+  std::vector<std::uint64_t> mRates;   ///< Whole requests a second.
+  std::vector<std::uint64_t> mLeaving; ///< Those of the entries that leave.
+};
+
 /// A heartbeat and its answer.
 struct EntryHeartbeat
 {
-  std::vector<EntryNews> mNews;
+  RegionNews mRegion;
   std::vector<std::string> mCrashers; ///< Digests of requests that crash.
   std::vector<ViewNews> mViews;
 };
@@ -60,11 +68,23 @@
 
 BOOST_DESCRIBE_STRUCT(WarmNews, (), (mServed))
 BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge))
-BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mNews, mCrashers, mViews))
+BOOST_DESCRIBE_STRUCT(RegionNews, (), (mEntries, mCounters, mRates, mLeaving))
+BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mRegion, mCrashers, mViews))
 BOOST_DESCRIBE_STRUCT(ViewQuestion, (), (mKind, mFrom))
 BOOST_DESCRIBE_STRUCT(ViewMessage, (),
                       (mView, mFrom, mWhole, mNames, mSpecs, mRevisions))
 
+/// @returns the part of an incarnation that tells entries apart in messages
+[[nodiscard]] std::uint64_t ShortId(std::uint64_t aIncarnation) noexcept;
+
+/// Writes the news of a region for a message.
+[[nodiscard]] RegionNews PackNews(const std::vector<EntryNews>& aNews);
+
+/// @returns the news of entries that the roster knows; nothing where the
+///          message is malformed
+[[nodiscard]] std::optional<std::vector<EntryNews>> UnpackNews(
+  const Roster& aRoster, const RegionNews& aNews);
+
 /// @returns what to tell of all views
 [[nodiscard]] std::vector<ViewNews> TellViews(const Entry& aEntry,
                                               TimePoint aNow);
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -89,9 +89,10 @@
   }
 }
 
-void PushToRegion(Entry& aEntry, const char* aKind, const std::string& aBody)
+void PushToAll(Entry& aEntry, const std::vector<EntryRecord>& aPeers,
+               const char* aKind, const std::string& aBody)
 {
-  for (const auto& it : LivePeers(aEntry.mRoster, Clock::now())) {
+  for (const auto& it : aPeers) {
     asio::co_spawn(aEntry.mContext, PushTo(aEntry, it, aKind, aBody),
                    asio::detached);
   }
@@ -173,14 +174,15 @@
 {
   const auto& view = aEntry.mFollows[aKind].mView;
   const auto body = ToJson(MakeMessage(aKind, view, aFrom, aChanges));
-  PushToRegion(aEntry, kPushKind, body);
+  PushToAll(aEntry, LivePeers(aEntry.mRoster, Clock::now()), kPushKind, body);
 }
 
 void PushWarmNews(Entry& aEntry)
 {
   const WarmNews news{ TakeUntold(aEntry.mWarm) };
   if (!news.mServed.empty()) {
-    PushToRegion(aEntry, kWarmKind, ToJson(news));
+    PushToAll(aEntry, ServingPeers(aEntry.mRoster, Clock::now()), kWarmKind,
+              ToJson(news));
   }
 }
 
--- a/src/entry/reload.cpp
+++ b/src/entry/reload.cpp
@@ -91,6 +91,12 @@
   for (auto& [service, budget] : aEntry.mRetries) {
     SetRetryBounds(aEntry, budget);
   }
+  const auto capacity =
+    CapacityOf(aNew.mLimits.mCores, aNew.mLimits.mLinkMegabits);
+  auto& self = aEntry.mRoster.mSelf;
+  // Other entries learn of it from the own record.
+  aEntry.mRecordWritten = aEntry.mRecordWritten && self.mCapacity == capacity;
+  self.mCapacity = capacity;
   aEntry.mCallerServer.SetLimits(
     LimitsFor(aNew.mLimits, aEntry.mRouting.mLimits));
   return true;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -102,6 +102,7 @@
     ForgetLapsed(aEntry.mRegistry, now);
     ForgetOldCrashes(aEntry.mCrashers, now);
     NoteLiveEntries(aEntry, now);
+    UpdateServing(aEntry.mRoster, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
     aEntry.mTargetClient.DropExpired(now);
@@ -167,6 +168,8 @@
   self.mPeerKey = HexId(mRandom());
   self.mFailureDomain = mSettings.mFailureDomain;
   self.mRegion = mSettings.mRegion;
+  self.mCapacity =
+    CapacityOf(mSettings.mLimits.mCores, mSettings.mLimits.mLinkMegabits);
 }
 
 void ForgetGoneRoutes(Entry& aEntry)
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -34,6 +34,8 @@
 {
   std::uint32_t mMostDescriptors = 4'096;
   std::uint32_t mMemoryMb = 256;
+  double mCores = 1;          ///< Of the host that the process may use.
+  double mLinkMegabits = 100; ///< Of the host's link, a second.
 
   bool operator==(const EntryLimits&) const = default;
 };
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -12,6 +12,11 @@
 constexpr std::uint64_t kFarEvery = 2;
 /// Most addresses in one answer, from the platform's pages.
 constexpr std::size_t kMostNamed = 64;
+/// Capacity of an entry whose record does not tell it, that of a small host.
+constexpr double kCapacityUntold = 80;
+/// Callers keep a look-up for a while: up to this many times the entries that
+/// they are led to may send requests.
+constexpr std::size_t kStillSending = 2;
 
 bool IsLive(const Roster& aRoster, const RosterEntry& aEntry, TimePoint aNow)
 {
@@ -54,12 +59,12 @@
 {
   std::vector<EntryNews> out;
   out.push_back({ aRoster.mSelf.mName, aRoster.mSelf.mIncarnation,
-                  aRoster.mOwnCounter, aRoster.mLeaving });
+                  aRoster.mOwnCounter, aRoster.mLeaving, aRoster.mOwnRate });
   for (const auto& [name, entry] : aRoster.mOthers) {
     if (InOwnRegion(aRoster, entry) && entry.mCounter > 0 &&
         aNow - entry.mHeard <= kHeartbeatPeriod * 3) {
-      out.push_back(
-        { name, entry.mRecord.mIncarnation, entry.mCounter, entry.mLeaving });
+      out.push_back({ name, entry.mRecord.mIncarnation, entry.mCounter,
+                      entry.mLeaving, entry.mRate });
     }
   }
   return out;
@@ -77,6 +82,7 @@
     }
     entry->second.mCounter = it.mCounter;
     entry->second.mLeaving = it.mLeaving;
+    entry->second.mRate = it.mRate;
     entry->second.mHeard = aNow;
     aRoster.mHeardAny = aNow;
   }
@@ -142,33 +148,109 @@
   return out;
 }
 
+namespace {
+
+/// Keeps as many of the entries as one answer holds. Each entry that answers
+/// look-ups keeps others, so that all get their part of the callers.
+std::vector<std::string> MostNamed(std::vector<const EntryRecord*> aEntries,
+                                   const Roster& aRoster)
+{
+  if (aEntries.size() > kMostNamed) {
+    const auto seed = Hash(aRoster.mSelf.mName);
+    std::nth_element(aEntries.begin(), aEntries.begin() + kMostNamed,
+                     aEntries.end(),
+                     [seed](const EntryRecord* a, const EntryRecord* b) {
+                       return Hash(a->mName, seed) < Hash(b->mName, seed);
+                     });
+    aEntries.resize(kMostNamed);
+  }
+  std::vector<std::string> out;
+  for (const auto* it : aEntries) {
+    out.push_back(it->mCallerAddress);
+  }
+  return out;
+}
+
+} // namespace
+
 std::vector<std::string> EntriesFor(const Roster& aRoster,
                                     const std::string& aRegion, TimePoint aNow)
 {
-  std::vector<std::string> out;
-  std::vector<std::string> elsewhere;
+  std::vector<const EntryRecord*> near;
+  std::vector<const EntryRecord*> elsewhere;
   const auto add = [&](const EntryRecord& a) {
-    (a.mRegion == aRegion ? out : elsewhere).push_back(a.mCallerAddress);
+    (a.mRegion == aRegion ? near : elsewhere).push_back(&a);
   };
-  if (!aRoster.mLeaving) {
+  // Nothing was chosen yet, or none of those chosen is left.
+  const bool all =
+    std::none_of(aRoster.mServing.begin(), aRoster.mServing.end(),
+                 [&](const std::string& a) {
+                   const auto it = aRoster.mOthers.find(a);
+                   return it == aRoster.mOthers.end()
+                            ? a == aRoster.mSelf.mName && !aRoster.mLeaving
+                            : IsLive(aRoster, it->second, aNow);
+                 });
+  const auto serves = [&](const std::string& aName) {
+    return all || aRoster.mServing.count(aName) > 0;
+  };
+  if (!aRoster.mLeaving && serves(aRoster.mSelf.mName)) {
     add(aRoster.mSelf);
   }
   for (const auto& [name, entry] : aRoster.mOthers) {
     // Heartbeats stay within a region: of others only the record is known.
-    if (!InOwnRegion(aRoster, entry) ? !entry.mLeaving
-                                     : IsLive(aRoster, entry, aNow)) {
+    if (!InOwnRegion(aRoster, entry)
+          ? !entry.mLeaving
+          : serves(name) && IsLive(aRoster, entry, aNow)) {
       add(entry.mRecord);
     }
   }
-  if (out.empty()) {
-    out = std::move(elsewhere);
+  return MostNamed(near.empty() ? std::move(elsewhere) : std::move(near),
+                   aRoster);
+}
+
+void UpdateServing(Roster& aRoster, TimePoint aNow)
+{
+  std::vector<ServingCandidate> live;
+  double rate = aRoster.mOwnRate;
+  double capacity = 0;
+  const auto add = [&](const EntryRecord& a) {
+    live.push_back({ a.mName, a.mFailureDomain,
+                     a.mCapacity > 0 ? a.mCapacity : kCapacityUntold });
+    capacity += live.back().mCapacity;
+  };
+  if (!aRoster.mLeaving) {
+    add(aRoster.mSelf);
+  }
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    if (InOwnRegion(aRoster, entry) && IsLive(aRoster, entry, aNow)) {
+      add(entry.mRecord);
+      rate += entry.mRate;
+    }
   }
-  if (out.size() > kMostNamed) {
-    out.resize(kMostNamed);
+  NoteRegionRate(aRoster.mRegionRate, rate, capacity, aNow);
+  const auto names = ChooseServing(std::move(live), aRoster.mRegionRate.mPeak);
+  aRoster.mServing = { names.begin(), names.end() };
+}
+
+std::vector<EntryRecord> ServingPeers(const Roster& aRoster, TimePoint aNow)
+{
+  auto out = LivePeers(aRoster, aNow);
+  if (!aRoster.mServing.empty()) {
+    std::erase_if(out, [&](const EntryRecord& a) {
+      return aRoster.mServing.count(a.mName) == 0;
+    });
   }
   return out;
 }
 
+std::size_t CountSending(const Roster& aRoster, TimePoint aNow) noexcept
+{
+  const auto live = CountLiveInRegion(aRoster, aNow);
+  return aRoster.mServing.empty()
+           ? live
+           : std::min(live, kStillSending * aRoster.mServing.size());
+}
+
 std::size_t SharingEntries(const Roster& aRoster) noexcept
 {
   return std::max(aRoster.mMostSeen, aRoster.mOthers.size() + 1);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -23,6 +23,9 @@
   "listen.directory=10.1.0.10:8164\n"
   "internal_port_range=7720,7735\n"
   "limits.max_fds=4100\n"
+  "limits.cpu_share=0.1\n"
+  "limits.cores=2\n"
+  "limits.link_mbps=1000.0\n"
   "bounds=drain=2500ms,config=4s,grace=6s,cold_over=1.5,new_bound=true\n"
   "a.field.to.come=1\n"
   "platform.address=10.200.1.7:8169\n";
@@ -74,6 +77,8 @@
   cr_assert_eq(settings.mBounds.mRoutingAge, 4s);
   cr_assert_eq(settings.mBounds.mTargetAge, 2500ms);
   cr_assert_eq(settings.mLimits.mMostDescriptors, 4'100U);
+  cr_assert_float_eq(settings.mLimits.mCores, 0.2, 1e-9);
+  cr_assert_float_eq(settings.mLimits.mLinkMegabits, 1'000, 1e-9);
 }
 
 Test(platform, a_problem_names_file_line_and_field)
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -114,3 +114,33 @@
     HearViews(second.mEntry, TellViews(first.mEntry, now), now);
   cr_assert_eq(newer.size(), 1U);
 }
+
+Test(relay, news_of_a_region_survives_its_short_form)
+{
+  Bed bed("e1");
+  EntryRecord peer;
+  peer.mName = "e2";
+  peer.mIncarnation = 0x1234567890abcdefULL;
+  TakeRecord(bed.mEntry.mRoster, peer, Clock::now());
+  const auto packed = PackNews(
+    { { "e2", peer.mIncarnation, 41, true, 12.4 }, { "e9", 77, 1, false, 0 } });
+  const auto news = UnpackNews(bed.mEntry.mRoster, packed);
+  cr_assert(news);
+  // Of an entry whose record is not known nothing is taken in.
+  cr_assert_eq(news->size(), 1U);
+  cr_assert_eq(news->front().mName, "e2");
+  cr_assert_eq(news->front().mIncarnation, peer.mIncarnation);
+  cr_assert_eq(news->front().mCounter, 41U);
+  cr_assert(news->front().mLeaving);
+  cr_assert_float_eq(news->front().mRate, 12, 0.01);
+}
+
+Test(relay, malformed_news_of_a_region_is_refused)
+{
+  Bed bed("e1");
+  RegionNews news;
+  news.mEntries = { 1, 2 };
+  news.mCounters = { 1 };
+  news.mRates = { 1, 2 };
+  cr_assert_not(UnpackNews(bed.mEntry.mRoster, news));
+}
--- a/tests/unit/roster_test.cpp
+++ b/tests/unit/roster_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace guavaline;
 using namespace std::chrono_literals;
@@ -137,3 +138,57 @@
   }
   cr_assert_eq(removers, 1);
 }
+
+Test(roster, a_large_region_is_not_named_by_its_first_names_only)
+{
+  // More entries than one answer holds: each that answers names others.
+  constexpr int kEntries = 90;
+  std::set<std::string> named;
+  for (int n = 0; n < kEntries; ++n) {
+    const auto list = EntriesFor(MakeRoster(n, kEntries, "r1"), "r1", kNow);
+    cr_assert_eq(list.size(), 64U);
+    named.insert(list.begin(), list.end());
+  }
+  cr_assert_eq(named.size(), static_cast<std::size_t>(kEntries));
+}
+
+Test(roster, callers_are_led_to_entries_that_serve_while_they_live)
+{
+  auto roster = MakeRoster(0, 60, "r1");
+  UpdateServing(roster, kNow);
+  // Load: none for a minute after the start.
+  for (int n = 0; n < 60; ++n) {
+    UpdateServing(roster, kNow + Seconds(n));
+  }
+  const auto now = kNow + 1s;
+  const auto list = EntriesFor(roster, "r1", now);
+  cr_assert_lt(list.size(), 30U);
+  cr_assert_geq(list.size(), 15U);
+  cr_assert_geq(ServingPeers(roster, now).size() + 1, list.size());
+  // Where all of them have left, callers are led to the others.
+  for (const auto& it : roster.mServing) {
+    if (it != roster.mSelf.mName) {
+      roster.mOthers[it].mLeaving = true;
+    }
+  }
+  roster.mServing.erase(roster.mSelf.mName);
+  cr_assert_gt(EntriesFor(roster, "r1", now).size(), 20U);
+}
+
+Test(roster, more_requests_lead_callers_to_more_entries_within_a_heartbeat)
+{
+  auto roster = MakeRoster(0, 60, "r1");
+  const auto hear = [&](std::uint64_t aCounter, double aRate, TimePoint aNow) {
+    for (int n = 1; n < 60; ++n) {
+      HearNews(roster,
+               { { MakeRecord(n, "r1").mName, 7, aCounter, false, aRate } },
+               aNow);
+    }
+    UpdateServing(roster, aNow);
+    return roster.mServing.size();
+  };
+  hear(1, 0, kNow);
+  const auto calm = hear(2, 0, kNow + 60s);
+  // Load: a burst that reaches all entries alike.
+  cr_assert_gt(hear(3, 20, kNow + 61s), calm);
+}
