End exchanges with targets that send bytes without end

The client read a chunk's head and interim answers without a bound: with the bounds below switched off a chunk head without end took memory until std::bad_alloc, interim answers went on for 60 s, and twelve bodies without end held more than any bound on the process. Change: 64 KiB of a connection may wait unparsed, 16 interim or late answers may come before the own one, and the bodies of all answers that are being read share a bound, a quarter of the process's memory. Tests: six in client_test.cpp; three of them fail without the bounds (a_chunk_head_or_trailer..., interim_answers..., bodies_without_end_share...), heads and single bodies without end were bounded before. Conclusion: the exchange ends as a failed one, at once and in bounded memory.

--- a/src/entry/limits.cpp
+++ b/src/entry/limits.cpp
@@ -5,7 +5,8 @@
 
 /// Descriptors kept for the store, peers, targets and files.
 constexpr std::uint32_t kOtherDescriptors = 1'000;
-/// One part in this many of the process's memory holds bodies in flight.
+/// One part in this many of the process's memory holds bodies of requests in
+/// flight, and another one bodies of answers.
 constexpr std::uint64_t kBodyMemoryPart = 4;
 constexpr std::uint64_t kMegabyte = 1ULL << 20U;
 
@@ -27,4 +28,9 @@
   return out;
 }
 
+std::uint64_t MostAnswerBytes(const EntryLimits& aProcess) noexcept
+{
+  return aProcess.mMemoryMb * kMegabyte / kBodyMemoryPart;
+}
+
 } // namespace guavaline::detail
--- a/src/entry/limits.hpp
+++ b/src/entry/limits.hpp
@@ -15,4 +15,8 @@
 [[nodiscard]] HttpServerLimits LimitsFor(const EntryLimits& aProcess,
                                          const CallerLimits& aCallers) noexcept;
 
+/// @returns the bound on bodies of targets' answers that are being read
+[[nodiscard]] std::uint64_t MostAnswerBytes(
+  const EntryLimits& aProcess) noexcept;
+
 } // namespace guavaline::detail
--- a/src/entry/reload.cpp
+++ b/src/entry/reload.cpp
@@ -97,6 +97,7 @@
   // Other entries learn of it from the own record.
   aEntry.mRecordWritten = aEntry.mRecordWritten && self.mCapacity == capacity;
   self.mCapacity = capacity;
+  aEntry.mTargetClient.SetMostBuffered(MostAnswerBytes(aNew.mLimits));
   aEntry.mCallerServer.SetLimits(
     LimitsFor(aNew.mLimits, aEntry.mRouting.mLimits));
   return true;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -155,6 +155,7 @@
   , mTargetClient(aContext.get_executor())
   , mPeers(aContext.get_executor(), "", mSettings.mAddress)
 {
+  mTargetClient.SetMostBuffered(MostAnswerBytes(mSettings.mLimits));
   mRegistry.mDomains = mSettings.mDomains;
   mRegionShare.mMostShift = mSettings.mBounds.mMostShift;
   mRegionShare.mUnrest = mSettings.mBounds.mUnrest;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -37,6 +37,13 @@
 /// Bodies above this are sent while the answer is awaited, since a peer may
 /// answer before it has read them.
 constexpr std::size_t kSmallBody = 8'192;
+/// Bytes of a connection that are read and not yet parsed. What is longer
+/// without being a head or a piece of a body is no answer.
+constexpr std::size_t kMostUnparsed = 65'536;
+/// Bodies of all answers that are being read, where no other bound is set.
+constexpr std::uint64_t kMostBuffered = 256ULL << 20U;
+/// Interim answers, and late ones to earlier requests, before the own answer.
+constexpr int kMostStray = 16;
 
 /// A kept connection.
 class PooledConnection
@@ -51,7 +58,7 @@
   }
 
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  beast::flat_buffer mBuffer{ kMostUnparsed };
   TimePoint mProven{};
   Millis mIdleLimit{ kKeptUnbounded }; ///< The peer closes it after that.
 };
@@ -129,6 +136,8 @@
   }
 
   std::map<std::string, ConnectionList> mIdle;
+  std::uint64_t mBuffered = 0; ///< Bytes of answers that are being read.
+  std::uint64_t mMostBuffered = kMostBuffered;
 };
 
 std::string Endpoint::Text() const
@@ -329,20 +338,66 @@
   return it != aMessage.end() && it->value() != aOptions.mAnswerId;
 }
 
+/// Counts the body of one answer while it is read.
+class BufferedBody
+{
+public:
+  explicit BufferedBody(HttpPoolState& aPool)
+    : mPool(aPool)
+  {
+  }
+  ~BufferedBody() { mPool.mBuffered -= mBytes; }
+  BufferedBody(const BufferedBody&) = delete;
+  BufferedBody& operator=(const BufferedBody&) = delete;
+  BufferedBody(BufferedBody&&) = delete;
+  BufferedBody& operator=(BufferedBody&&) = delete;
+
+  /// @returns false where all answers together would take too much memory
+  [[nodiscard]] bool Grow(std::uint64_t aBytes)
+  {
+    const auto more = aBytes - mBytes;
+    if (mPool.mBuffered + more > mPool.mMostBuffered) {
+      return false;
+    }
+    mBytes = aBytes;
+    mPool.mBuffered += more;
+    return true;
+  }
+
+private:
+  HttpPoolState& mPool;
+  std::uint64_t mBytes = 0;
+};
+
+/// Reads one answer.
+asio::awaitable<beast::error_code> ReadWhole(Connection aConnection,
+                                             HttpPoolState& aPool,
+                                             ResponseParser& aParser)
+{
+  BufferedBody body(aPool);
+  beast::error_code ec;
+  while (!ec && !aParser.is_done()) {
+    co_await http::async_read_some(
+      aConnection->mStream, aConnection->mBuffer, aParser,
+      asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && !body.Grow(aParser.get().body().size())) {
+      ec = http::error::body_limit;
+    }
+  }
+  co_return ec;
+}
+
 /// Reads answers until one belongs to the request.
 asio::awaitable<beast::error_code> Receive(
-  Connection aConnection, bool aHead, const ExchangeOptions& aOptions,
-  std::optional<ResponseParser>& aParser)
+  Connection aConnection, HttpPoolState& aPool, bool aHead,
+  const ExchangeOptions& aOptions, std::optional<ResponseParser>& aParser)
 {
-  while (true) {
+  for (int n = 0; n <= kMostStray; ++n) {
     aParser.emplace();
     aParser->header_limit(kMostHeaderBytes);
     aParser->body_limit(aOptions.mMostBodyBytes);
     aParser->skip(aHead);
-    beast::error_code ec;
-    co_await http::async_read(aConnection->mStream, aConnection->mBuffer,
-                              *aParser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    auto ec = co_await ReadWhole(aConnection, aPool, *aParser);
     if (!ec && !aHead && aParser->need_eof() && !aOptions.mUnframedBody) {
       // Nothing would tell a whole body from one that was cut short.
       ec = http::error::partial_message;
@@ -351,6 +406,7 @@
       co_return ec;
     }
   }
+  co_return http::error::unexpected_body;
 }
 
 Error ErrorOf(const char* aStep, const Endpoint& aEndpoint,
@@ -397,7 +453,7 @@
     asio::co_spawn(mExecutor, Send(sending), asio::detached);
   }
   std::optional<ResponseParser> parser;
-  const auto ec = co_await Receive(connection, head, aOptions, parser);
+  const auto ec = co_await Receive(connection, *pool, head, aOptions, parser);
   if (ec) {
     const bool unsent = sending->mDone && sending->mError;
     result.mTimedOut = ec == beast::error::timeout;
@@ -419,6 +475,16 @@
   co_return result;
 }
 
+void HttpClient::SetMostBuffered(std::uint64_t aBytes)
+{
+  mPool->mMostBuffered = aBytes;
+}
+
+std::uint64_t HttpClient::Buffered() const
+{
+  return mPool->mBuffered;
+}
+
 void HttpClient::DropExpired(TimePoint aNow)
 {
   mPool->DropExpired(aNow);
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -81,6 +81,11 @@
   /// Closes connections that have been idle longer than their peer keeps them.
   void DropExpired(TimePoint aNow);
 
+  /// Bounds the bodies of all answers that are being read, in bytes. An
+  /// answer that would take more ends its exchange.
+  void SetMostBuffered(std::uint64_t aBytes);
+  [[nodiscard]] std::uint64_t Buffered() const;
+
 private:
   boost::asio::any_io_executor mExecutor;
   boost::intrusive_ptr<HttpPoolState> mPool;
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -7,6 +7,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace guavaline;
 using namespace guavaline::detail;
 using namespace std::chrono_literals;
@@ -153,3 +155,144 @@
     2);
   cr_assert_eq(out.mConnections, 2);
 }
+
+namespace {
+
+/// The answer starts with some bytes and goes on with others without end.
+ExchangeResult AskEndless(const std::string& aStart, const std::string& aMore)
+{
+  const auto out = Ask(
+    [&](int, const std::string&) -> ScriptedAnswer {
+      return { aStart, false, false, true, aMore };
+    },
+    1);
+  return out.mResults.front();
+}
+
+} // namespace
+
+Test(client, a_head_without_end_is_no_answer, .timeout = 60)
+{
+  const std::string line = "X-More: " + std::string(1'000, 'x') + "\r\n";
+  for (const auto& it : { line, std::string(1'000, 'x') }) {
+    const auto out = AskEndless("HTTP/1.1 200 OK\r\n", it);
+    cr_assert_not(out.mResponse);
+    cr_assert_not(out.mTimedOut);
+  }
+}
+
+Test(client, bytes_without_end_that_are_no_answer_end_the_exchange,
+     .timeout = 60)
+{
+  for (const auto& it : { std::string(1'000, '\0'), std::string(1'000, 'x') }) {
+    const auto out = AskEndless("", it);
+    cr_assert_not(out.mResponse);
+    cr_assert_not(out.mTimedOut);
+  }
+}
+
+Test(client, a_chunk_head_or_trailer_without_end_is_no_answer, .timeout = 60)
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string line = "X-More: " + std::string(1'000, 'x') + "\r\n";
+  const std::string many(1'000, 'x');
+  for (const auto& [start, more] :
+       { std::pair(head + "5;a=", many), std::pair(head + "0\r\n", line) }) {
+    const auto out = AskEndless(start, more);
+    cr_assert_not(out.mResponse);
+    cr_assert_not(out.mTimedOut);
+  }
+}
+
+Test(client, a_body_without_end_is_no_answer, .timeout = 60)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string many(100'000, 'x');
+  for (const auto& [start, more] :
+       { std::pair(head + "\r\n", many),
+         std::pair(head + "Transfer-Encoding: chunked\r\n\r\n",
+                   "186a0\r\n" + many + "\r\n") }) {
+    const auto out = AskEndless(start, more);
+    cr_assert_not(out.mResponse);
+    cr_assert_not(out.mTimedOut);
+  }
+}
+
+Test(client, interim_answers_without_end_are_no_answer, .timeout = 60)
+{
+  const auto out = AskEndless("", "HTTP/1.1 102 Processing\r\n\r\n");
+  cr_assert_not(out.mResponse);
+  cr_assert_not(out.mTimedOut);
+}
+
+namespace {
+
+/// Targets that send bodies without end, until told to answer in whole.
+struct EndlessTargets
+{
+  asio::io_context mContext{ 1 };
+  bool mEndless = true;
+  ScriptedServer mServer{ mContext, [this](int, const std::string&) {
+                           return Answer();
+                         } };
+  HttpClient mClient{ mContext.get_executor() };
+  std::uint64_t mMostBuffered = 0;
+  int mFailed = 0;
+  ExchangeResult mLast;
+
+  [[nodiscard]] ScriptedAnswer Answer() const
+  {
+    ScriptedAnswer out{ mEndless ? "HTTP/1.1 200 OK\r\n\r\n" : Whole("ok") };
+    out.mForever = mEndless ? std::string(50'000, 'x') : "";
+    return out;
+  }
+};
+
+asio::awaitable<ExchangeResult> AskOnce(EndlessTargets& aTargets)
+{
+  ExchangeOptions options;
+  options.mDeadline = Clock::now() + 20s;
+  options.mUnframedBody = true;
+  HttpRequest request;
+  request.mMethod = "GET";
+  const Endpoint endpoint{ "127.0.0.1", aTargets.mServer.Port() };
+  auto out = co_await aTargets.mClient.Exchange(endpoint, std::move(request),
+                                                std::move(options));
+  aTargets.mMostBuffered =
+    std::max(aTargets.mMostBuffered, aTargets.mClient.Buffered());
+  co_return out;
+}
+
+/// The last of several callers to fail asks once more for a whole answer.
+asio::awaitable<void> AskUntilWhole(EndlessTargets& aTargets, int aCallers)
+{
+  const auto result = co_await AskOnce(aTargets);
+  aTargets.mFailed += result.mResponse || result.mTimedOut ? 0 : 1;
+  if (aTargets.mFailed == aCallers) {
+    aTargets.mEndless = false;
+    aTargets.mLast = co_await AskOnce(aTargets);
+    aTargets.mContext.stop();
+  }
+}
+
+} // namespace
+
+Test(client, bodies_without_end_share_one_bound_on_memory, .timeout = 60)
+{
+  // Many targets send without end at once: all answers together stay within
+  // what the process may hold, and the next answer is whole.
+  constexpr int kCallers = 12;
+  constexpr std::uint64_t kMost = 4ULL << 20U;
+  EndlessTargets targets;
+  targets.mClient.SetMostBuffered(kMost);
+  for (int n = 0; n < kCallers; ++n) {
+    asio::co_spawn(targets.mContext, AskUntilWhole(targets, kCallers),
+                   asio::detached);
+  }
+  targets.mContext.run_for(30s);
+  cr_assert_eq(targets.mFailed, kCallers);
+  cr_assert_leq(targets.mMostBuffered, kMost);
+  cr_assert(targets.mLast.mResponse);
+  cr_assert_eq(targets.mClient.Buffered(), 0U);
+}
--- a/tests/unit/scripted_server.cpp
+++ b/tests/unit/scripted_server.cpp
@@ -57,6 +57,10 @@
     buf.erase(0, std::min(length, buf.size()));
     co_await asio::async_write(aSocket, asio::buffer(answer.mBytes),
                                asio::redirect_error(asio::use_awaitable, ec));
+    while (!answer.mForever.empty() && !ec) {
+      co_await asio::async_write(aSocket, asio::buffer(answer.mForever),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (answer.mReset) {
       aSocket.set_option(asio::socket_base::linger(true, 0), ec);
     }
--- a/tests/unit/scripted_server.hpp
+++ b/tests/unit/scripted_server.hpp
@@ -19,6 +19,7 @@
   bool mClose = false; ///< Ends the connection in order afterwards.
   bool mReset = false; ///< Resets the connection afterwards.
   bool mReadBody = true;
+  std::string mForever = {}; ///< Sent again and again until the caller closes.
 };
 
 /// Answers the n-th request of the server with what the script returns.
