Share the bound on unseen cold targets among the entries that serve

Cause: after an outage of the store any target may be cold unseen, and each entry gets its part of the bound on it. Change: one entry in five more stands for callers that keep look-ups longer. Test: roster::entries_that_serve_may_use_most_of_a_bound_they_share.

--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -14,9 +14,9 @@
 constexpr std::size_t kMostNamed = 64;
 /// Capacity of an entry whose record does not tell it, that of a small host.
 constexpr double kCapacityUntold = 80;
-/// Callers keep a look-up for a while: up to this many times the entries that
-/// they are led to may send requests.
-constexpr std::size_t kStillSending = 2;
+/// Callers keep a look-up for a while. While fewer entries become named, those
+/// no longer named send as much as one of this many that are.
+constexpr std::size_t kNamedPerStraggler = 5;
 
 bool IsLive(const Roster& aRoster, const RosterEntry& aEntry, TimePoint aNow)
 {
@@ -246,9 +246,9 @@
 std::size_t CountSending(const Roster& aRoster, TimePoint aNow) noexcept
 {
   const auto live = CountLiveInRegion(aRoster, aNow);
-  return aRoster.mServing.empty()
-           ? live
-           : std::min(live, kStillSending * aRoster.mServing.size());
+  const auto serving = aRoster.mServing.size();
+  const auto stragglers = serving / kNamedPerStraggler + 1;
+  return serving == 0 ? live : std::min(live, serving + stragglers);
 }
 
 std::size_t SharingEntries(const Roster& aRoster) noexcept
--- a/tests/unit/roster_test.cpp
+++ b/tests/unit/roster_test.cpp
@@ -192,3 +192,26 @@
   // Load: a burst that reaches all entries alike.
   cr_assert_gt(hear(3, 20, kNow + 61s), calm);
 }
+
+Test(roster, entries_that_serve_may_use_most_of_a_bound_they_share)
+{
+  // Load: an outage of the store, in which any target may be cold and each
+  // entry that sends gets its part of the bound on a cold target. Callers are
+  // led to a quarter of the entries, which need most of the bound.
+  auto roster = MakeRoster(0, 60, "r1");
+  for (int n = 0; n < 60; ++n) {
+    UpdateServing(roster, kNow + Seconds(n));
+  }
+  const auto now = kNow + 1s;
+  const auto sharing = static_cast<double>(CountSending(roster, now));
+  const auto serving = static_cast<double>(roster.mServing.size());
+  cr_assert_lt(serving, 30);
+  cr_assert_geq(serving / sharing, 0.75);
+  cr_assert_lt(serving, sharing);
+}
+
+Test(roster, before_anything_was_chosen_all_live_entries_share_a_bound)
+{
+  const auto roster = MakeRoster(0, 12, "r1");
+  cr_assert_eq(CountSending(roster, kNow), 12U);
+}
