Answer no look-up before the entry can serve; log the serving set

Change: until an entry has its views and the records of entries its look-ups answer 503, so that callers ask the next one. A change of the number of entries that callers are led to is logged (serving_changed). Test: lookups::an_entry_that_cannot_serve_yet_leads_nobody_to_itself, failed before (200 in place of 503).

--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/detached.hpp>
 
 #include <charconv>
+#include <cmath>
 #include <unordered_map>
 #include <utility>
 
@@ -109,7 +110,7 @@
     const auto id = ShortId(it.mIncarnation);
     out.mEntries.push_back(id);
     out.mCounters.push_back(it.mCounter);
-    out.mRates.push_back(static_cast<std::uint64_t>(it.mRate + 0.5));
+    out.mRates.push_back(static_cast<std::uint64_t>(std::llround(it.mRate)));
     if (it.mLeaving) {
       out.mLeaving.push_back(id);
     }
--- a/src/entry/lookups.cpp
+++ b/src/entry/lookups.cpp
@@ -40,6 +40,13 @@
   if (!question) {
     co_return Plain(404, "no such page\n");
   }
+  // A started entry would name itself alone, and cannot serve yet: callers
+  // turn to another entry for their look-up.
+  const auto records = aEntry.mFollows.find(ObjectKind::Entries);
+  if (!IsReady(aEntry) || records == aEntry.mFollows.end() ||
+      !records->second.mView.mListed) {
+    co_return Plain(503, "starting\n");
+  }
   auto entries = EntriesFor(aEntry.mRoster, question->mRegion, Clock::now());
   aEntry.mMetrics.Count("lookups", "region=\"" + question->mRegion + "\"");
   if (entries.empty()) {
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -5,9 +5,7 @@
 #include "codec/described.hpp"
 #include "entry/entry.hpp"
 
-namespace guavaline {
-
-namespace detail {
+namespace guavaline::detail {
 
 BOOST_DESCRIBE_ENUM(ObjectKind, Routing, Targets, Evacuations, Entries)
 
@@ -107,5 +105,4 @@
 /// Takes in which objects a peer had served.
 void TakeWarmNews(Entry& aEntry, const std::string& aBody);
 
-} // namespace detail
-} // namespace guavaline
+} // namespace guavaline::detail
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <cmath>
 #include <csignal>
 #include <set>
 
@@ -94,6 +95,22 @@
                  FirstFarShare(own, all, ownDomains, allDomains));
 }
 
+/// Chooses which entries callers are led to, and logs how many became so.
+void ServeByLoad(Entry& aEntry, TimePoint aNow)
+{
+  auto& roster = aEntry.mRoster;
+  const auto before = roster.mServing.size();
+  UpdateServing(roster, aNow);
+  if (roster.mServing.size() != before) {
+    LogBounded(LogClass::Routine, LogLevel::Info, "serving_changed",
+               { { "entries", std::to_string(roster.mServing.size()) },
+                 { "before", std::to_string(before) },
+                 { "live", std::to_string(CountLiveInRegion(roster, aNow)) },
+                 { "requests_per_s",
+                   std::to_string(std::lround(roster.mRegionRate.mPeak)) } });
+  }
+}
+
 asio::awaitable<void> Upkeep(Entry& aEntry)
 {
   while (true) {
@@ -102,7 +119,7 @@
     ForgetLapsed(aEntry.mRegistry, now);
     ForgetOldCrashes(aEntry.mCrashers, now);
     NoteLiveEntries(aEntry, now);
-    UpdateServing(aEntry.mRoster, now);
+    ServeByLoad(aEntry, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
     aEntry.mTargetClient.DropExpired(now);
