Count requests of split routes by service, and log them

Lines of routine requests are bounded, and no metric counted picks by route and service: a wrong choice could not be told from a service without room.

Each entry now writes one split_requests line every two seconds for each split route with requests: the weights in force, the requests picked for each service, those refused unsent, and the size of the tally. The counter guavaline_split_requests_total has the same by route and service.

No decision is changed. Before: nothing; after: test forward::requests_of_a_split_route_are_counted_by_service.

--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -52,6 +52,7 @@
     std::chrono::duration_cast<std::chrono::microseconds>(took));
   aEntry.mMetrics.Count("requests", "route=\"" + aPassage.mRoute.mName +
                                       "\",reason=\"" + aReason + "\"");
+  NoteSplitEnd(aEntry, aPassage);
   const auto& view = aEntry.mFollows[ObjectKind::Targets].mView;
   const auto viewAge = std::chrono::duration_cast<Millis>(
     aNow - std::max(view.mConfirmed, aPassage.mArrived - kMostAge));
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -7,6 +7,7 @@
 #include "daemon/log.hpp"
 #include "entry/adapter.hpp"
 #include "entry/settings.hpp"
+#include "entry/splits.hpp"
 #include "http/server.hpp"
 #include "peers/peer_link.hpp"
 
@@ -39,6 +40,7 @@
   RunTimes mRunTimes;
   Millis mFullLimit{ 0 }; ///< Time limit that its callers start with.
   SplitTally mSplit;
+  SplitRequests mSplitRequests; ///< Since they were last logged.
 };
 
 struct Entry
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -258,6 +258,7 @@
   }
   passage.mService = PickService(passage.mRoute, passage.mKey,
                                  aEntry.mRoutes[passage.mRoute.mName].mSplit);
+  NotePicked(aEntry, passage);
   auto last = co_await SendToTargets(aEntry, passage);
   co_return finish(std::move(last.mResponse), last.mReason);
 }
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -23,6 +23,8 @@
 namespace {
 
 constexpr Millis kUpkeepPeriod{ 200 };
+/// Time between lines on the requests of split routes.
+constexpr Millis kSplitLogPeriod{ 2'000 };
 constexpr Millis kStopPoll{ 50 };
 /// Callers go on for this long after the entry left the look-ups, from the
 /// time that they keep answers.
@@ -113,6 +115,7 @@
 
 asio::awaitable<void> Upkeep(Entry& aEntry)
 {
+  auto logged = Clock::now();
   while (true) {
     co_await Pause(aEntry, kUpkeepPeriod);
     const auto now = Clock::now();
@@ -123,6 +126,10 @@
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
     aEntry.mTargetClient.DropExpired(now);
+    if (now - logged >= kSplitLogPeriod) {
+      LogSplits(aEntry);
+      logged = now;
+    }
     FlushLog();
   }
 }
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -303,7 +303,7 @@
   bed.Add(Shed);
   bed.Add(Shed);
   constexpr int kRequests = 300;
-  for (int n = 0; n < kRequests; ++n) {
+  for (unsigned n = 0; n < kRequests; ++n) {
     bed.Send();
   }
   const auto& bounds = bed.mEntry.mSettings.mBounds;
@@ -379,3 +379,30 @@
   cr_assert_eq(load.mOwn, 0U);
   cr_assert_not(bed.mEntry.mRegistry.mTargets.at("t1")->mBroken);
 }
+
+Test(forward, requests_of_a_split_route_are_counted_by_service)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(Serve);
+  auto& route = bed.mEntry.mRouting.mRoutes[0];
+  route.mServices = { { "service", 1 }, { "without_targets", 1 } };
+  constexpr unsigned kRequests = 20;
+  for (unsigned n = 0; n < kRequests; ++n) {
+    bed.Send();
+  }
+  auto& requests = bed.mEntry.mRoutes["route"].mSplitRequests;
+  const auto served = requests["service"];
+  const auto refused = requests["without_targets"];
+  cr_assert_gt(served.mPicked, 0U);
+  cr_assert_gt(refused.mPicked, 0U);
+  cr_assert_eq(served.mPicked + refused.mPicked, kRequests);
+  cr_assert_eq(served.mUnsent, 0U);
+  cr_assert_eq(refused.mUnsent, refused.mPicked);
+  const auto text = bed.mEntry.mMetrics.Text();
+  const auto line = "split_requests_total{route=\"route\",service=\"service\","
+                    "sent=\"yes\"} " +
+                    std::to_string(served.mPicked) + "\n";
+  cr_assert_neq(text.find(line), std::string::npos, "%s", text.c_str());
+  LogSplits(bed.mEntry);
+  cr_assert(requests.empty());
+}
