Keep the weights of a split route over all entries, from the first request

Cause: each entry corrected its own past. A tally of about 500 requests, kept by position of the part, outlived the configuration. After 90:10 became 50:50 every request went to the part that had gained until the whole tally fitted; at two requests a second and entry (grown sites) that lasts most of a minute. Class of fault: state learned under one configuration is applied under the next. Next to it a bound that holds at each entry does not hold in the sum: ten requests went by the object's hash on every entry before anything was corrected (610 requests on 61).

Why it works: an entry counts by how many requests each part is ahead, never its share of the past, so nothing is made up for. The part furthest behind is picked unless the object's part stays within this entry's share of ten requests ahead. A tally names its split; other weights or services start a new one at a random point of the cycle, which makes the first requests of many entries fit as well.

Ruled out: a service without room (refusals count for their part and move nothing; split_requests shows both). The affinity test is unchanged but for the signature. forward::requests_of_a_split_route_are_counted_by_service sends 60 requests in place of 20, since one entry alone may now give an object's part ten more than its weight.

--- a/include/guavaline/routing/routes.hpp
+++ b/include/guavaline/routing/routes.hpp
@@ -26,6 +26,8 @@
 {
   std::string mService;
   double mWeight = 1;
+
+  bool operator==(const WeightedService&) const = default;
 };
 
 /// Where requests of one host name and path prefix go.
@@ -74,19 +76,24 @@
                                       std::string_view aHost,
                                       std::string_view aPath) noexcept;
 
-/// Requests sent to each part of one split route, fading with time.
+/// How one entry has spread the requests of a split route over its parts.
 struct SplitTally
 {
-  std::vector<double> mSent; ///< By part.
-  double mAll = 0;
+  std::vector<WeightedService> mParts; ///< The split that it counts for.
+  std::vector<double> mAhead; ///< By part: requests beyond its weight so far.
 };
 
 /// Picks the part of a route that serves an object. An object keeps its part,
-/// so that one service holds it warm, as long as the shares stay near the
-/// weights.
-/// @param aKey  hash of the object
+/// so that one service holds it warm, as far as the weights allow: they hold
+/// for the requests of all entries together, also while each has few. A tally
+/// of another split than the route's starts anew.
+/// @param aKey      hash of the object
+/// @param aEntries  entries that share the route's requests
+/// @param aRandom   where in the cycle of parts a new tally starts
 [[nodiscard]] const std::string& PickService(const Route& aRoute,
                                              std::uint64_t aKey,
-                                             SplitTally& aTally);
+                                             SplitTally& aTally,
+                                             std::size_t aEntries,
+                                             std::uint64_t aRandom);
 
 } // namespace guavaline
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -256,8 +256,9 @@
     co_return finish(Reject(aEntry, passage, kRetryAfterUnready, "crashes"),
                      "crashes_targets");
   }
-  passage.mService = PickService(passage.mRoute, passage.mKey,
-                                 aEntry.mRoutes[passage.mRoute.mName].mSplit);
+  passage.mService = PickService(
+    passage.mRoute, passage.mKey, aEntry.mRoutes[passage.mRoute.mName].mSplit,
+    SharingEntries(aEntry.mRoster), aEntry.mRandom());
   NotePicked(aEntry, passage);
   auto last = co_await SendToTargets(aEntry, passage);
   co_return finish(std::move(last.mResponse), last.mReason);
--- a/src/entry/splits.cpp
+++ b/src/entry/splits.cpp
@@ -2,7 +2,9 @@
 
 #include "entry/passage.hpp"
 
+#include <array>
 #include <cmath>
+#include <cstdio>
 
 namespace guavaline::detail {
 
@@ -25,6 +27,18 @@
   return out;
 }
 
+/// @returns "SERVICE:REQUESTS,..." by how much each is ahead of its weight
+std::string AheadText(const SplitTally& aTally)
+{
+  std::string out;
+  for (std::size_t n = 0; n < aTally.mParts.size(); ++n) {
+    std::array<char, 32> buf{};
+    std::snprintf(buf.data(), buf.size(), ":%.1f", aTally.mAhead[n]);
+    out += (out.empty() ? "" : ",") + aTally.mParts[n].mService + buf.data();
+  }
+  return out;
+}
+
 } // namespace
 
 void NotePicked(Entry& aEntry, const Passage& aPassage)
@@ -61,22 +75,22 @@
     }
     auto& record = it->second;
     auto& requests = record.mSplitRequests;
-    LogBounded(
-      LogClass::Failure, LogLevel::Info, "split_requests",
-      { { "route", route.mName },
-        { "configuration", std::to_string(aEntry.mRouting.mVersion) },
-        { "weights",
-          PartsText(route,
-                    [](const auto& a) { return std::lround(a.mWeight); }) },
-        { "picked", PartsText(route,
-                              [&](const auto& a) {
-                                return requests[a.mService].mPicked;
-                              }) },
-        { "unsent", PartsText(route,
-                              [&](const auto& a) {
-                                return requests[a.mService].mUnsent;
-                              }) },
-        { "tally", std::to_string(std::lround(record.mSplit.mAll)) } });
+    LogBounded(LogClass::Failure, LogLevel::Info, "split_requests",
+               { { "route", route.mName },
+                 { "configuration", std::to_string(aEntry.mRouting.mVersion) },
+                 { "weights", PartsText(route,
+                                        [](const auto& a) {
+                                          return std::lround(a.mWeight);
+                                        }) },
+                 { "picked", PartsText(route,
+                                       [&](const auto& a) {
+                                         return requests[a.mService].mPicked;
+                                       }) },
+                 { "unsent", PartsText(route,
+                                       [&](const auto& a) {
+                                         return requests[a.mService].mUnsent;
+                                       }) },
+                 { "ahead", AheadText(record.mSplit) } });
     requests.clear();
   }
 }
--- a/src/routing/routes.cpp
+++ b/src/routing/routes.cpp
@@ -7,12 +7,13 @@
 namespace guavaline {
 namespace {
 
-/// Largest distance of a part's share from its weight before objects move.
-constexpr double kMostDrift = 0.03;
-/// Weight of the tally's past at each request; about 500 requests count.
-constexpr double kTallyFade = 0.998;
-/// Requests before the shares are looked at.
-constexpr double kFewRequests = 10;
+/// Requests that a part may be ahead of its weight for objects to keep their
+/// part, over all entries: a tenth of the 200 over which weights must hold, as
+/// it may go from ahead to behind.
+constexpr double kMostAhead = 10;
+/// A tally starts at one of this many points of the cycle of parts, so that
+/// entries with few requests do not all begin with the same part.
+constexpr std::uint64_t kStartPoints = 1'000;
 
 double SumOfWeights(const Route& aRoute)
 {
@@ -37,27 +38,47 @@
   return aRoute.mServices.size() - 1;
 }
 
-double ShareGap(const Route& aRoute, const SplitTally& aTally, double aSum,
-                std::size_t aPart)
+/// @returns the part's share of the requests by its weight
+double ShareOf(const Route& aRoute, std::size_t aPart, double aSum)
 {
-  return aTally.mSent[aPart] / aTally.mAll -
-         aRoute.mServices[aPart].mWeight / aSum;
+  return aRoute.mServices[aPart].mWeight / aSum;
 }
 
-/// @returns the part that is furthest below its weight
+/// @returns the part that is furthest behind once one more request has come
 std::size_t MostLacking(const Route& aRoute, const SplitTally& aTally,
                         double aSum)
 {
   std::size_t out = 0;
-  for (std::size_t n = 1; n < aRoute.mServices.size(); ++n) {
-    if (ShareGap(aRoute, aTally, aSum, n) <
-        ShareGap(aRoute, aTally, aSum, out)) {
+  double most = 0;
+  for (std::size_t n = 0; n < aRoute.mServices.size(); ++n) {
+    const double lacks = ShareOf(aRoute, n, aSum) - aTally.mAhead[n];
+    if (n == 0 || lacks > most) {
       out = n;
+      most = lacks;
     }
   }
   return out;
 }
 
+void NoteSent(const Route& aRoute, SplitTally& aTally, double aSum,
+              std::size_t aPart)
+{
+  for (std::size_t n = 0; n < aRoute.mServices.size(); ++n) {
+    aTally.mAhead[n] -= ShareOf(aRoute, n, aSum);
+  }
+  aTally.mAhead[aPart] += 1;
+}
+
+void Start(const Route& aRoute, SplitTally& aTally, double aSum,
+           std::uint64_t aRandom)
+{
+  aTally.mParts = aRoute.mServices;
+  aTally.mAhead.assign(aRoute.mServices.size(), 0);
+  for (auto n = aRandom % kStartPoints; n > 0; --n) {
+    NoteSent(aRoute, aTally, aSum, MostLacking(aRoute, aTally, aSum));
+  }
+}
+
 } // namespace
 
 const Route* MatchRoute(const RoutingTable& aTable, std::string_view aHost,
@@ -74,26 +95,22 @@
 }
 
 const std::string& PickService(const Route& aRoute, std::uint64_t aKey,
-                               SplitTally& aTally)
+                               SplitTally& aTally, std::size_t aEntries,
+                               std::uint64_t aRandom)
 {
   if (aRoute.mServices.size() == 1) {
     return aRoute.mServices.front().mService;
   }
-  if (aTally.mSent.size() != aRoute.mServices.size()) {
-    aTally.mSent.assign(aRoute.mServices.size(), 0);
-    aTally.mAll = 0;
-  }
   const double sum = SumOfWeights(aRoute);
+  if (aTally.mParts != aRoute.mServices) {
+    Start(aRoute, aTally, sum, aRandom);
+  }
   auto part = PartOf(aRoute, aKey, sum);
-  if (aTally.mAll >= kFewRequests &&
-      ShareGap(aRoute, aTally, sum, part) > kMostDrift) {
+  const double ahead = aTally.mAhead[part] + 1 - ShareOf(aRoute, part, sum);
+  if (ahead * static_cast<double>(aEntries) > kMostAhead) {
     part = MostLacking(aRoute, aTally, sum);
   }
-  for (auto& it : aTally.mSent) {
-    it *= kTallyFade;
-  }
-  aTally.mAll = aTally.mAll * kTallyFade + 1;
-  aTally.mSent[part] += 1;
+  NoteSent(aRoute, aTally, sum, part);
   return aRoute.mServices[part].mService;
 }
 
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -386,7 +386,7 @@
   bed.Add(Serve);
   auto& route = bed.mEntry.mRouting.mRoutes[0];
   route.mServices = { { "service", 1 }, { "without_targets", 1 } };
-  constexpr unsigned kRequests = 20;
+  constexpr unsigned kRequests = 60;
   for (unsigned n = 0; n < kRequests; ++n) {
     bed.Send();
   }
--- a/tests/unit/routes_test.cpp
+++ b/tests/unit/routes_test.cpp
@@ -44,7 +44,8 @@
       const auto draw = HashPair(mSeed, ++mDraws);
       auto& tally = mTallies[draw % mTallies.size()];
       const auto object = HashPair(mSeed, HashPair(draw, 1) % aObjects);
-      const auto& service = PickService(aRoute, object, tally);
+      const auto& service =
+        PickService(aRoute, object, tally, mTallies.size(), HashPair(draw, 2));
       out.push_back(service == aRoute.mServices.front().mService);
     }
     return out;
@@ -95,7 +96,7 @@
     for (int n = 0; n < kRequests; ++n) {
       const auto object = Hash("request " + std::to_string(n)) % kObjects;
       const auto key = HashPair(seed, object);
-      second += PickService(route, key, tally) == "second" ? 1 : 0;
+      second += PickService(route, key, tally, 1, seed) == "second" ? 1 : 0;
     }
     cr_assert_lt(std::abs(second / kRequests - 0.1), 0.05, "seed %d: %f",
                  static_cast<int>(seed), second / kRequests);
@@ -110,7 +111,7 @@
   std::map<std::uint64_t, std::map<std::string, int>> seen;
   for (std::uint64_t n = 0; n < 20'000; ++n) {
     const auto key = Hash(std::to_string(n % 1'000));
-    ++seen[key][PickService(route, key, tally)];
+    ++seen[key][PickService(route, key, tally, 1, 0)];
   }
   int moved = 0;
   for (const auto& [key, parts] : seen) {
