Carry the shares between regions over by name when a configuration changes

Not reported by users; it concerns guavalined.

Cause: the shares of a service by region are a list in the order of the configuration's regions. They were kept whenever the number of regions stayed the same. A configuration that listed the regions in another order, or had one in another's place, swapped their traffic at once, past the cap on shifts. Shares of a place that had gone stayed too, and the status read them by the new regions' number.

Evidence: both new tests fail with the comparison by size put back (shares[2] is 0.2 in place of 0.7; shares[0] is 0.7 in place of 0.9).

--- a/include/guavaline/steering/shares.hpp
+++ b/include/guavaline/steering/shares.hpp
@@ -47,10 +47,17 @@
 struct ShareState
 {
   Shares mShares;
-  TimePoint mMoved;            ///< When they were last moved.
-  std::vector<double> mCredit; ///< Smooth choice state by region.
+  TimePoint mMoved;                  ///< When they were last moved.
+  std::vector<double> mCredit;       ///< Smooth choice state by region.
+  std::vector<std::string> mRegions; ///< Names of the regions, in order.
 };
 
+/// Fits shares to the regions that a configuration lists, by their names. What
+/// regions that are gone had goes where the plan has it; a state without shares
+/// starts with the planned ones.
+void FitShares(ShareState& aState, const Configuration& aConfiguration,
+               const Shares& aPlanned, TimePoint aNow);
+
 /// Moves the shares in force toward a goal under a cap. Time during which
 /// nothing was moved, as in a paused process, gives no extra allowance.
 void Advance(ShareState& aState, const Shares& aGoal, const ShiftCap& aCap,
--- a/src/daemon/adoption.cpp
+++ b/src/daemon/adoption.cpp
@@ -70,14 +70,16 @@
 void StartShares(Node& aNode, ServiceState& aState, TimePoint aNow)
 {
   const auto& configuration = aNode.mAccepted.mConfiguration;
-  for (std::size_t n = 0; n < configuration.mRegions.size(); ++n) {
-    const auto& place = configuration.mRegions[n].mName;
-    auto& shares = aState.mShares[place];
-    if (shares.mShares.size() != configuration.mRegions.size()) {
-      shares.mShares =
-        PlannedShares(configuration, aState.mService, n, WallNow());
-      shares.mMoved = aNow;
-    }
+  const auto& regions = configuration.mRegions;
+  std::erase_if(aState.mShares, [&](const auto& aShares) {
+    return std::none_of(regions.begin(), regions.end(), [&](const Region& a) {
+      return a.mName == aShares.first;
+    });
+  });
+  for (std::size_t n = 0; n < regions.size(); ++n) {
+    FitShares(aState.mShares[regions[n].mName], configuration,
+              PlannedShares(configuration, aState.mService, n, WallNow()),
+              aNow);
   }
 }
 
--- a/src/steering/shares.cpp
+++ b/src/steering/shares.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace guavaline {
 namespace {
@@ -62,6 +63,31 @@
   return out;
 }
 
+std::vector<std::string> RegionNames(const Configuration& aConfiguration)
+{
+  std::vector<std::string> out;
+  for (const auto& it : aConfiguration.mRegions) {
+    out.push_back(it.mName);
+  }
+  return out;
+}
+
+/// @returns values by region in the order of other regions; 0 for those that
+///          had none
+std::vector<double> InOrderOf(const std::vector<std::string>& aRegions,
+                              const std::vector<double>& aValues,
+                              const std::vector<std::string>& aValuesOf)
+{
+  std::vector<double> out(aRegions.size(), 0.0);
+  for (std::size_t n = 0; n < aValues.size(); ++n) {
+    const auto it = std::find(aRegions.begin(), aRegions.end(), aValuesOf[n]);
+    if (it != aRegions.end()) {
+      out[static_cast<std::size_t>(it - aRegions.begin())] = aValues[n];
+    }
+  }
+  return out;
+}
+
 } // namespace
 
 ShiftCap CapOf(const Service& aService) noexcept
@@ -133,6 +159,27 @@
     aState.mShares, aGoal, AllowanceFor(aCap, std::min(passed, kLongestStep)));
 }
 
+void FitShares(ShareState& aState, const Configuration& aConfiguration,
+               const Shares& aPlanned, TimePoint aNow)
+{
+  const auto names = RegionNames(aConfiguration);
+  if (aState.mRegions == names) {
+    return;
+  }
+  if (aState.mShares.empty()) {
+    aState.mMoved = aNow;
+  }
+  auto shares = InOrderOf(names, aState.mShares, aState.mRegions);
+  const double lost = 1 - std::accumulate(shares.begin(), shares.end(), 0.0);
+  for (std::size_t n = 0; n < shares.size(); ++n) {
+    shares[n] += std::max(0.0, lost) * aPlanned[n];
+  }
+  aState.mCredit.resize(aState.mRegions.size(), 0.0);
+  aState.mCredit = InOrderOf(names, aState.mCredit, aState.mRegions);
+  aState.mShares = std::move(shares);
+  aState.mRegions = names;
+}
+
 std::size_t PickRegion(ShareState& aState)
 {
   aState.mCredit.resize(aState.mShares.size(), 0.0);
--- a/tests/unit/shares_test.cpp
+++ b/tests/unit/shares_test.cpp
@@ -64,7 +64,7 @@
 
 Test(shares, a_move_stays_under_the_cap_in_every_window)
 {
-  ShareState state{ { 1, 0, 0 }, kNow, {} };
+  ShareState state{ { 1, 0, 0 }, kNow, {}, {} };
   std::vector<Shares> seen;
   std::mt19937_64 random(5);
   auto now = kNow;
@@ -85,14 +85,14 @@
 
 Test(shares, a_paused_process_gains_no_allowance)
 {
-  ShareState state{ { 1, 0, 0 }, kNow, {} };
+  ShareState state{ { 1, 0, 0 }, kNow, {}, {} };
   Advance(state, { 0, 1, 0 }, kCap, kNow + 3600s);
   cr_assert_geq(state.mShares[0], 1 - kCap.mShare / 60 - 1e-9);
 }
 
 Test(shares, picks_follow_the_shares)
 {
-  ShareState state{ { 0.5, 0.25, 0.25 }, kNow, {} };
+  ShareState state{ { 0.5, 0.25, 0.25 }, kNow, {}, {} };
   std::vector<int> counts(3, 0);
   for (int n = 0; n < 1'000; ++n) {
     ++counts[PickRegion(state)];
@@ -103,7 +103,7 @@
 
 Test(shares, a_region_without_a_share_is_never_picked)
 {
-  ShareState state{ { 0.5, 0.5, 0 }, kNow, {} };
+  ShareState state{ { 0.5, 0.5, 0 }, kNow, {}, {} };
   for (int n = 0; n < 100; ++n) {
     (void)PickRegion(state);
   }
@@ -147,7 +147,9 @@
   const auto& service = configuration.mServices[0];
   const auto start = ScheduleDrains(configuration, service)[0].mStart;
   // One entry that moved step by step, ...
-  ShareState state{ PlannedShares(configuration, service, 0, start), kNow, {} };
+  ShareState state;
+  FitShares(state, configuration,
+            PlannedShares(configuration, service, 0, start), kNow);
   auto now = kNow;
   for (int n = 0; n < 1'500; ++n) {
     now += 100ms;
@@ -174,3 +176,38 @@
     cr_assert_not(ForecastDrain(configuration, later, kWall)[0].mFits);
   }
 }
+
+// Guards against shares that are kept by position over a change of the
+// configuration: regions that are listed in another order swapped their
+// traffic at once, past the cap.
+Test(shares, a_configuration_that_lists_regions_otherwise_moves_no_traffic)
+{
+  auto configuration = tests::Example("tussock");
+  const auto& service = configuration.mServices[0];
+  ShareState state;
+  FitShares(state, configuration, { 0.7, 0.2, 0.1 }, kNow);
+  const auto first = configuration.mRegions[0].mName;
+  std::rotate(configuration.mRegions.begin(),
+              configuration.mRegions.begin() + 1, configuration.mRegions.end());
+  FitShares(state, configuration,
+            PlannedShares(configuration, service, 2, kWall), kNow + 1s);
+  cr_assert_eq(configuration.mRegions[2].mName, first);
+  cr_assert_eq(state.mShares[2], 0.7);
+  cr_assert_eq(state.mShares[0], 0.2);
+  cr_assert_eq(state.mShares[1], 0.1);
+  cr_assert(state.mMoved == kNow);
+}
+
+// Guards against a region that takes the place of another one and gets its
+// traffic at once.
+Test(shares, a_region_inherits_no_traffic_of_the_one_it_replaces)
+{
+  auto configuration = tests::Example("tussock");
+  ShareState state;
+  FitShares(state, configuration, { 0.7, 0.2, 0.1 }, kNow);
+  configuration.mRegions[1].mName = "new";
+  FitShares(state, configuration, { 1, 0, 0 }, kNow + 1s);
+  cr_assert_float_eq(state.mShares[0], 0.9, 1e-9);
+  cr_assert_eq(state.mShares[1], 0.0);
+  cr_assert_eq(state.mShares[2], 0.1);
+}
