Keep what a link's budget has used over a change of the configuration

Not reported by users; it concerns guavalined.

Cause: each adopted configuration made the budgets of all links anew, filled with a quarter of a second of the link's rate. Changes in quick succession, every 50 ms in the test, let several times the rate through to another region.

Evidence: budgets::changes_in_quick_succession_give_no_more_bytes fails with the tokens filled anew. Why it works: a link that stays takes over the lesser of what was left and the new budget's burst, debt included.

--- a/include/guavaline/admission/budgets.hpp
+++ b/include/guavaline/admission/budgets.hpp
@@ -22,6 +22,10 @@
 [[nodiscard]] LinkBudget MakeLinkBudget(const Configuration& aConfiguration,
                                         const Link& aLink, TimePoint aNow);
 
+/// Brings a budget up to a configuration; what it has used stays used.
+void UpdateLinkBudget(LinkBudget& aBudget, const Configuration& aConfiguration,
+                      const Link& aLink, TimePoint aNow);
+
 /// Takes bytes for a request.
 /// @returns false where the link's part is used up for now
 [[nodiscard]] bool TakeBytes(LinkBudget& aBudget, std::uint64_t aBytes,
--- a/src/admission/budgets.cpp
+++ b/src/admission/budgets.cpp
@@ -38,6 +38,15 @@
   return out;
 }
 
+void UpdateLinkBudget(LinkBudget& aBudget, const Configuration& aConfiguration,
+                      const Link& aLink, TimePoint aNow)
+{
+  Refill(aBudget, aNow);
+  auto updated = MakeLinkBudget(aConfiguration, aLink, aNow);
+  updated.mTokens = std::min(updated.mTokens, aBudget.mTokens);
+  aBudget = updated;
+}
+
 bool TakeBytes(LinkBudget& aBudget, std::uint64_t aBytes,
                TimePoint aNow) noexcept
 {
--- a/src/daemon/adoption.cpp
+++ b/src/daemon/adoption.cpp
@@ -114,12 +114,21 @@
 void UpdateLinks(Node& aNode, TimePoint aNow)
 {
   const auto& configuration = aNode.mAccepted.mConfiguration;
-  aNode.mLinks.clear();
+  std::map<std::string, LinkBudget> links;
   for (const auto& it : configuration.mLinks) {
-    if (it.mFrom == aNode.mSettings.mRegion) {
-      aNode.mLinks[it.mTo] = MakeLinkBudget(configuration, it, aNow);
+    if (it.mFrom != aNode.mSettings.mRegion) {
+      continue;
+    }
+    const auto before = aNode.mLinks.find(it.mTo);
+    auto& budget = links[it.mTo];
+    if (before == aNode.mLinks.end()) {
+      budget = MakeLinkBudget(configuration, it, aNow);
+    } else {
+      budget = before->second;
+      UpdateLinkBudget(budget, configuration, it, aNow);
     }
   }
+  aNode.mLinks = std::move(links);
 }
 
 /// One entry of each failure domain watches the store: the one with the
--- a/tests/unit/budgets_test.cpp
+++ b/tests/unit/budgets_test.cpp
@@ -40,6 +40,25 @@
   cr_assert_geq(bytes, allowed * 0.95);
 }
 
+// Guards against a budget that each change of the configuration fills again:
+// changes in quick succession let several times the link's rate through.
+Test(budgets, changes_in_quick_succession_give_no_more_bytes)
+{
+  const auto configuration = tests::Example("tussock");
+  const auto& link = configuration.mLinks[0];
+  auto budget = MakeLinkBudget(configuration, link, kNow);
+  constexpr std::uint64_t kBytes = 1'000;
+  double bytes = 0;
+  for (auto now = kNow; now < kNow + 10s; now += 50ms) {
+    UpdateLinkBudget(budget, configuration, link, now);
+    for (int n = 0; n < 1'000 && TakeBytes(budget, kBytes, now); ++n) {
+      bytes += kBytes;
+    }
+  }
+  // A burst of a quarter of a second may come on top.
+  cr_assert_leq(bytes, budget.mBytesPerSecond * 10.25 + kBytes);
+}
+
 Test(budgets, answers_are_paid_for_by_later_requests)
 {
   LinkBudget budget{ 1'000, 250, kNow };
