Learn run times for each service of a route, not for the route

Cause: an entry kept the run times that it expects by route. After a configuration moved the route to another service, or split it, they were those of the former service, or a mixture. Where the former one took longer than the route's time-out allows, every request for the new one was refused as too_late, and without requests nothing better was learned: the moved route stayed refused.

Evidence: forward::a_moved_route_is_not_judged_by_its_former_service fails with the times kept by route (503 in place of 200).

--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -41,7 +41,7 @@
   const TargetRegistry& mRegistry;
   const RoundTrips& mTrips;
   const WarmTable& mWarm;
-  const RunTimes& mRunTimes; ///< Of the request's route.
+  const RunTimes& mRunTimes; ///< Of the request's route and service.
   ColdBound mCold;
   std::size_t mEntries = 1;       ///< Entries that share the targets.
   std::size_t mRegionEntries = 1; ///< Those of the own region.
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -37,7 +37,7 @@
 /// What an entry learns of one route while the configuration has it.
 struct RouteRecord
 {
-  RunTimes mRunTimes;
+  std::map<std::string, RunTimes> mRunTimes; ///< By service.
   Millis mFullLimit{ 0 }; ///< Time limit that its callers start with.
   SplitTally mSplit;
   SplitRequests mSplitRequests; ///< Since they were last logged.
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -63,7 +63,7 @@
     aEntry.mRegistry,
     aEntry.mTrips,
     aEntry.mWarm,
-    aEntry.mRoutes[aPassage.mRoute.mName].mRunTimes,
+    aEntry.mRoutes[aPassage.mRoute.mName].mRunTimes[aPassage.mService],
     ColdBoundOf(aEntry, aPassage.mService),
     SharingEntries(aEntry.mRoster),
     CountSending(aEntry.mRoster, aNow),
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -206,6 +206,9 @@
   }
   for (auto it = aEntry.mRoutes.begin(); it != aEntry.mRoutes.end();) {
     if (routes.count(it->first) > 0) {
+      std::erase_if(it->second.mRunTimes, [&](const auto& a) {
+        return table.mServices.count(a.first) == 0;
+      });
       ++it;
       continue;
     }
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -120,8 +120,8 @@
   }
   const auto inTarget = std::max(Millis(1), aTook - choice.mRoundTrip);
   if (choice.mWait == Millis(0) && Slowness(aTarget.mLoad, aNow) < kSlowRun) {
-    NoteRun(aEntry.mRoutes[aPassage.mRoute.mName].mRunTimes, choice.mWarmth,
-            inTarget);
+    auto& record = aEntry.mRoutes[aPassage.mRoute.mName];
+    NoteRun(record.mRunTimes[aPassage.mService], choice.mWarmth, inTarget);
   }
   NoteAnswer(aTarget.mLoad, inTarget, choice.mWait + choice.mRun, aNow);
   NoteServed(aEntry.mWarm, WarmId(aPassage.mKey, aTarget.mLife), aNow);
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -63,12 +63,12 @@
     }
   }
 
-  void Add(const tests::Script& aScript)
+  void Add(const tests::Script& aScript, const char* aService = "service")
   {
     mTargets.push_back(std::make_unique<ScriptedServer>(mContext, aScript));
     Registration target;
     target.mId = "t" + std::to_string(mTargets.size());
-    target.mService = "service";
+    target.mService = aService;
     target.mAddress = "127.0.0.1:" + std::to_string(mTargets.back()->Port());
     target.mFailureDomain = "d1";
     target.mSlots = 4;
@@ -406,3 +406,17 @@
   LogSplits(bed.mEntry);
   cr_assert(requests.empty());
 }
+
+// Guards against run times that outlive the move of a route: a slow service's
+// times let all requests for a fast one be refused as too late, and without
+// requests nothing better was learned.
+Test(forward, a_moved_route_is_not_judged_by_its_former_service)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(Serve, "fast");
+  for (const auto it : { Warmth::Known, Warmth::Likely, Warmth::Unlikely }) {
+    NoteRun(bed.mEntry.mRoutes["route"].mRunTimes["service"], it, 900ms);
+  }
+  bed.mEntry.mRouting.mRoutes[0].mServices = { { "fast", 1 } };
+  cr_assert_eq(bed.Send("800").mStatus, 200U);
+}
