--- a/testing/history/event.cpp
+++ b/testing/history/event.cpp
@@ -13,7 +13,8 @@
 BOOST_DESCRIBE_STRUCT(Event, (),
                       (mMicros, mKind, mIdentity, mService, mClass, mPlace,
                        mRegion, mPeer, mRan, mDigest, mOutcome, mStatus,
-                       mInFlight, mSlots, mVersion, mLatencyMicros, mAttempt))
+                       mInFlight, mSlots, mVersion, mLatencyMicros, mAttempt,
+                       mWeight))
 
 std::int64_t NowMicros() noexcept
 {
--- a/testing/history/event.hpp
+++ b/testing/history/event.hpp
@@ -46,6 +46,7 @@
   std::int64_t mVersion = 0;
   std::int64_t mLatencyMicros = 0;
   std::int64_t mAttempt = 0; ///< Number within its identity, from 1.
+  std::int64_t mWeight = 0;  ///< Of mService in a split, in percent.
 };
 
 /// @returns the present time on the clock of histories
--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -1,5 +1,6 @@
 #include "soak/callers.hpp"
 
+#include "soak/checks.hpp"
 #include "standin/platform_target.hpp"
 
 #include <guavaline/core/hash.hpp>
@@ -40,6 +41,7 @@
 constexpr Kind kReads{ "GET", "/read/", Millis(2'000), 0 };
 constexpr Kind kConfirmations{ "POST", "/confirm/", Millis(2'500), 400 };
 constexpr Kind kUploads{ "POST", "/upload/", Millis(2'000), 40'000 };
+constexpr Kind kSplit{ kSplitMethod, "/split/", Millis(2'000), 100 };
 
 /// Status codes that promise that a request has not run.
 bool IsPromise(unsigned aStatus)
@@ -78,9 +80,9 @@
 private:
   Kind PickKind()
   {
-    std::discrete_distribution<int> part({ 0.65, 0.25, 0.1 });
-    const int n = part(mRandom);
-    return n == 0 ? kReads : n == 1 ? kConfirmations : kUploads;
+    constexpr Kind kKinds[] = { kReads, kConfirmations, kUploads, kSplit };
+    std::discrete_distribution<std::size_t> part({ 0.45, 0.2, 0.1, 0.25 });
+    return kKinds[part(mRandom)];
   }
 
   /// Asks up to three entries where to connect; keeps an old answer where
@@ -148,7 +150,9 @@
       const bool refused =
         result.mResponse && IsPromise(result.mResponse->mStatus);
       const bool failed = !result.mResponse || result.mResponse->mStatus >= 500;
-      if (!refused && !(failed && aKind.mMethod == kReads.mMethod)) {
+      const bool once =
+        aKind.mPath == kConfirmations.mPath || aKind.mPath == kUploads.mPath;
+      if (!refused && (once || !failed)) {
         break;
       }
     }
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -3,7 +3,9 @@
 #include "history/checker.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
+#include <limits>
 #include <map>
 
 namespace guavaline::testing {
@@ -87,7 +89,8 @@
   const auto sent = SentBy(aHistory.mEvents);
   const auto bound = Micros(aHistory.mBounds.mRouting);
   for (const auto& it : aHistory.mEvents) {
-    if (it.mKind == EventKind::ConfigurationAccepted) {
+    if (it.mKind == EventKind::ConfigurationAccepted &&
+        it.mClass != kSplitMethod) {
       accepted.push_front(&it);
     }
     const auto by = sent.find(it.mIdentity);
@@ -113,6 +116,82 @@
   return out;
 }
 
+/// A run of a request on the split route.
+struct SplitRun
+{
+  std::int64_t mSent = 0;
+  std::int64_t mStarted = 0;
+  bool mFirst = false; ///< At the service whose weight the history has.
+};
+
+/// A time in which the weights of the split route do not change.
+struct SplitPeriod
+{
+  std::int64_t mFrom = 0; ///< When they must be in force.
+  std::int64_t mTo = 0;
+  double mWeight = 0; ///< Of the first service, 0 to 1.
+  std::vector<SplitRun> mRuns;
+};
+
+std::vector<SplitPeriod> FindSplitPeriods(const SoakHistory& aHistory)
+{
+  constexpr double kPercent = 100;
+  const auto sent = SentBy(aHistory.mEvents);
+  std::string service;
+  std::vector<SplitPeriod> out;
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mClass != kSplitMethod) {
+      continue;
+    }
+    if (it.mKind == EventKind::ConfigurationAccepted) {
+      service = it.mService;
+      if (!out.empty()) {
+        out.back().mTo = it.mMicros;
+      }
+      out.push_back({ it.mMicros + Micros(aHistory.mBounds.mRouting),
+                      std::numeric_limits<std::int64_t>::max(),
+                      static_cast<double>(it.mWeight) / kPercent,
+                      {} });
+    }
+    const auto by = sent.find(it.mIdentity);
+    if (it.mKind == EventKind::RunStarted && by != sent.end() && !out.empty()) {
+      out.back().mRuns.push_back(
+        { by->second->mMicros, it.mMicros, it.mService == service });
+    }
+  }
+  for (auto& it : out) {
+    std::erase_if(it.mRuns, [&](const SplitRun& a) {
+      return a.mSent < it.mFrom || a.mStarted >= it.mTo;
+    });
+  }
+  return out;
+}
+
+/// Shares of the split route that are off its weights in calm.
+Lines CheckWeights(const SoakHistory& aHistory)
+{
+  Lines out;
+  const auto n = static_cast<std::ptrdiff_t>(aHistory.mBounds.mSplitRequests);
+  for (const auto& period : FindSplitPeriods(aHistory)) {
+    const auto& runs = period.mRuns;
+    for (auto it = runs.begin(); runs.end() - it >= n; ++it) {
+      const auto first =
+        std::count_if(it, it + n, [](const SplitRun& a) { return a.mFirst; });
+      const auto share = static_cast<double>(first) / static_cast<double>(n);
+      const auto from = it->mSent - Micros(aHistory.mBounds.mInTouch);
+      if (std::abs(share - period.mWeight) > aHistory.mBounds.mMostOffWeight &&
+          IsCalm(aHistory, from, (it + n - 1)->mStarted)) {
+        out.push_back("weights are not kept: " + std::to_string(first) +
+                      " of " + std::to_string(n) + " requests, weight " +
+                      std::to_string(period.mWeight) + ", from " +
+                      std::to_string(it->mSent) + " us");
+        break;
+      }
+    }
+  }
+  return out;
+}
+
 /// Requests that a planned stop cut although a target was at work on them.
 Lines CheckStops(const SoakHistory& aHistory)
 {
@@ -188,14 +267,22 @@
     });
 }
 
+bool IsCalm(const SoakHistory& aHistory, std::int64_t aFrom, std::int64_t aTo)
+{
+  return std::none_of(aHistory.mImpairments.begin(),
+                      aHistory.mImpairments.end(), [&](const Impairment& a) {
+                        return a.mFrom <= aTo && (a.mTo == 0 || a.mTo >= aFrom);
+                      });
+}
+
 Lines CheckSoak(const SoakHistory& aHistory)
 {
   Lines out;
   for (const auto& lines :
        { CheckAtMostOnce(aHistory.mEvents), CheckTruth(aHistory.mEvents),
          CheckOwnAnswers(aHistory.mEvents), CheckAsked(aHistory),
-         CheckDrain(aHistory), CheckRouting(aHistory), CheckStops(aHistory),
-         CheckRecovery(aHistory) }) {
+         CheckDrain(aHistory), CheckRouting(aHistory), CheckWeights(aHistory),
+         CheckStops(aHistory), CheckRecovery(aHistory) }) {
     out.insert(out.end(), lines.begin(), lines.end());
   }
   return out;
--- a/testing/soak/checks.hpp
+++ b/testing/soak/checks.hpp
@@ -11,6 +11,9 @@
 
 namespace guavaline::testing {
 
+/// Requests on the split route have this method, which tells their runs apart.
+inline constexpr const char* kSplitMethod = "PUT";
+
 /// A time in which something was harmed.
 struct Impairment
 {
@@ -30,6 +33,8 @@
   Millis mRouting{ 2'500 }; ///< From a configuration to its effect.
   Millis mRecover{ 15'000 };
   double mServedAfterwards = 0.25;
+  std::size_t mSplitRequests = 200; ///< Over which weights must hold.
+  double mMostOffWeight = 0.2;
 };
 
 /// Everything a soak saw.
@@ -47,6 +52,10 @@
                              const std::vector<std::string>& aNames,
                              std::int64_t aFrom, std::int64_t aTo);
 
+/// @returns true where nothing at all was harmed in that time
+[[nodiscard]] bool IsCalm(const SoakHistory& aHistory, std::int64_t aFrom,
+                          std::int64_t aTo);
+
 /// @returns one line for each broken promise
 [[nodiscard]] std::vector<std::string> CheckSoak(const SoakHistory& aHistory);
 
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -59,6 +59,8 @@
     std::thread load([&] { RunSoakCallers(callers, mWorld.Events()); });
     Trouble(Clock::now() + mOptions.mTrouble);
     mHistory.mCalmFrom = NowMicros();
+    // The weights change once more, and are looked at in calm.
+    Change();
     load.join();
     mWorld.Stop();
     Judge(out);
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -32,6 +32,7 @@
 constexpr unsigned kFirstTargetHost = 100;
 constexpr Millis kSettle{ 1'000 };
 const char* const kServices[] = { "alpha", "beta" };
+constexpr int kPercent = 100;
 
 json::object Resource(const char* aType, const std::string& aName,
                       json::object aSpec)
@@ -57,12 +58,36 @@
                     { "allowed_regions", json::array{} } });
 }
 
-json::object MakeConfiguration(std::uint64_t aVersion,
-                               const std::string& aReadsAt)
+const char* ReadsAt(std::uint64_t aVersion)
+{
+  return kServices[aVersion % std::size(kServices)];
+}
+
+/// @returns the weight of the first service in the split route, in percent
+int FirstWeight(std::uint64_t aVersion)
+{
+  return aVersion % 2 == 0 ? 80 : 30;
+}
+
+json::object SplitRoute(const std::string& aName, int aFirstWeight)
 {
-  json::array resources{ Route("read", "idempotent", aReadsAt),
-                         Route("confirm", "non_idempotent", "alpha"),
-                         Route("upload", "upload", "beta") };
+  auto out = Route(aName, "idempotent", "");
+  auto& spec = out["spec"].as_object();
+  spec.erase("service");
+  spec["weighted_services"] =
+    json::array{ json::object{ { "service", kServices[0] },
+                               { "weight", aFirstWeight } },
+                 json::object{ { "service", kServices[1] },
+                               { "weight", kPercent - aFirstWeight } } };
+  return out;
+}
+
+json::object MakeConfiguration(std::uint64_t aVersion)
+{
+  json::array resources{ Route("read", "idempotent", ReadsAt(aVersion)),
+                         Route("confirm", "non_idempotent", kServices[0]),
+                         Route("upload", "upload", kServices[1]),
+                         SplitRoute("split", FirstWeight(aVersion)) };
   for (const auto* it : kServices) {
     resources.push_back(Resource("services", it,
                                  { { "health_path", "/health" },
@@ -81,11 +106,6 @@
   return { { "version", version }, { "resources", std::move(resources) } };
 }
 
-const char* ReadsAt(std::uint64_t aVersion)
-{
-  return kServices[aVersion % std::size(kServices)];
-}
-
 } // namespace
 
 World::World(const WorldOptions& aOptions)
@@ -181,11 +201,7 @@
   if (auto problem = ListenAll(); !problem.empty()) {
     return problem;
   }
-  mStore.Put("config", "main", MakeConfiguration(mVersion, ReadsAt(mVersion)));
-  Event event;
-  event.mKind = EventKind::ConfigurationAccepted;
-  event.mService = ReadsAt(mVersion);
-  mHistory.Add(std::move(event));
+  PutRouting();
   mThread = std::thread([this] {
     const auto work = boost::asio::make_work_guard(mContext);
     mContext.run();
@@ -370,17 +386,25 @@
   OnWorld([&] { mTargets[aTarget].mTarget->SetSlow(aFactor); });
 }
 
+void World::PutRouting()
+{
+  mStore.Put("config", "main", MakeConfiguration(mVersion));
+  Event event;
+  event.mKind = EventKind::ConfigurationAccepted;
+  event.mVersion = static_cast<std::int64_t>(mVersion);
+  event.mService = ReadsAt(mVersion);
+  mHistory.Add(event);
+  event.mClass = kSplitMethod;
+  event.mService = kServices[0];
+  event.mWeight = FirstWeight(mVersion);
+  mHistory.Add(std::move(event));
+}
+
 void World::ChangeRouting()
 {
-  OnWorld([&] {
+  OnWorld([this] {
     ++mVersion;
-    mStore.Put("config", "main",
-               MakeConfiguration(mVersion, ReadsAt(mVersion)));
-    Event event;
-    event.mKind = EventKind::ConfigurationAccepted;
-    event.mVersion = static_cast<std::int64_t>(mVersion);
-    event.mService = ReadsAt(mVersion);
-    mHistory.Add(std::move(event));
+    PutRouting();
   });
 }
 
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -82,7 +82,8 @@
   void DrainTarget(std::size_t aTarget);
   void SlowTarget(std::size_t aTarget, double aFactor);
 
-  /// Moves the reads to the other service.
+  /// Moves the reads to the other service and changes the weights of the
+  /// split route.
   void ChangeRouting();
   void Evacuate(const std::string& aZone, bool aEmptied);
   [[nodiscard]] std::string ZoneOf(std::size_t aEntry) const;
@@ -100,6 +101,7 @@
   };
 
   void OnWorld(const std::function<void()>& aDo);
+  void PutRouting();
   void Register(TargetPlace& aPlace, const char* aState);
   [[nodiscard]] std::string WriteSettings(std::size_t aEntry) const;
   void MakeEntries();
--- a/tests/unit/soak_checks_test.cpp
+++ b/tests/unit/soak_checks_test.cpp
@@ -134,3 +134,46 @@
   // Nobody was served after the time to recover, as nobody asked.
   cr_assert_eq(Broken(history), 1U);
 }
+
+namespace {
+
+/// Adds runs of the split route, of which each n-th is at the first service.
+void AddSplitRuns(SoakHistory& aHistory, std::int64_t aFrom, int aRuns,
+                  int aNth)
+{
+  for (int n = 0; n < aRuns; ++n) {
+    const auto id = "split" + std::to_string(aFrom) + "-" + std::to_string(n);
+    auto event =
+      MakeEvent(aFrom + n * kSecond / 50, EventKind::CallSent, id.c_str());
+    event.mClass = kSplitMethod;
+    aHistory.mEvents.push_back(event);
+    event.mKind = EventKind::RunStarted;
+    event.mService = n % aNth == 0 ? "alpha" : "beta";
+    event.mMicros += 1;
+    aHistory.mEvents.push_back(event);
+    event.mKind = EventKind::CallAnswered;
+    event.mRan = "yes";
+    aHistory.mEvents.push_back(event);
+  }
+}
+
+} // namespace
+
+Test(soak_checks, a_split_off_its_weights_is_found_in_calm_only)
+{
+  auto history = MakeCalm();
+  auto accepted = MakeEvent(20 * kSecond, EventKind::ConfigurationAccepted, "");
+  accepted.mPeer.clear();
+  accepted.mClass = kSplitMethod;
+  accepted.mWeight = 50;
+  history.mEvents.push_back(accepted);
+  AddSplitRuns(history, 30 * kSecond, 250, 2);
+  // Too few, and before the weights must be in force.
+  AddSplitRuns(history, 21 * kSecond, 60, 1);
+  AddSplitRuns(history, 40 * kSecond, 80, 1);
+  cr_assert_eq(Broken(history), 0U);
+  AddSplitRuns(history, 50 * kSecond, 250, 5);
+  cr_assert_eq(Broken(history), 1U);
+  history.mImpairments = { { "t7", 49 * kSecond, 49 * kSecond + 1 } };
+  cr_assert_eq(Broken(history), 0U);
+}
