Learn the rate limits that targets name, and log them

Nothing in the code read the limit, and no line or metric told how many requests one entry sends to one target: whether entries ignore a limit, hold back too little or each use the whole of it could not be told apart.

The platform's answer field is decoded in platform/ (docs there call it Server-Limit) into requests a second from all entries together. An entry logs target_limit when a limit is named, changes or ends, and every two seconds limited_target with the requests that it sent meanwhile; guavaline_limited_requests_total counts them by service. A value that is no rate is logged and changes nothing. Only an answer that bears the target's mark ends a limit, and none to a request sent before the limit was named.

No decision is changed.

--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -7,6 +7,7 @@
 
 #include <guavaline/core/time.hpp>
 #include <guavaline/placement/load.hpp>
+#include <guavaline/placement/rate_limit.hpp>
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -57,6 +58,7 @@
   /// a lost answer.
   std::optional<BrokenRun> mBroken;
   TargetLoad mLoad;
+  RateLimit mLimit;
 };
 
 using TargetPtr = boost::intrusive_ptr<LiveTarget>;
--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -51,6 +51,8 @@
   std::string mNotRun;   ///< On answers: the target did not run it.
   std::string mLoad;     ///< On answers: the target's load.
   std::string mProof;    ///< On answers: the target's mark on its answer.
+  /// On answers: requests a second that the target takes from all entries.
+  std::string mRateLimit;
 };
 
 /// A caller's question for entries.
@@ -87,6 +89,8 @@
   /// @returns the object that a request is about; empty where it says none
   std::function<std::string(const HttpRequest&)> mObjectOf;
   std::function<std::optional<ReportedLoad>(std::string_view)> mReadLoad;
+  /// @returns requests a second; nothing where the text is no rate
+  std::function<std::optional<double>(std::string_view)> mReadRateLimit;
   std::function<std::optional<LookupQuestion>(const HttpRequest&)> mReadLookup;
   std::function<HttpResponse(const std::vector<std::string>&, Millis aTtl)>
     mWriteLookup;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/entry.hpp"
 #include "entry/limits.hpp"
+#include "entry/rate_limits.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -23,8 +24,8 @@
 namespace {
 
 constexpr Millis kUpkeepPeriod{ 200 };
-/// Time between lines on the requests of split routes.
-constexpr Millis kSplitLogPeriod{ 2'000 };
+/// Time between lines on split routes and on limited targets.
+constexpr Millis kSummaryLogPeriod{ 2'000 };
 constexpr Millis kStopPoll{ 50 };
 /// Callers go on for this long after the entry left the look-ups, from the
 /// time that they keep answers.
@@ -126,8 +127,9 @@
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
     aEntry.mTargetClient.DropExpired(now);
-    if (now - logged >= kSplitLogPeriod) {
+    if (now - logged >= kSummaryLogPeriod) {
       LogSplits(aEntry);
+      LogLimits(aEntry, now);
       logged = now;
     }
     FlushLog();
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -1,6 +1,7 @@
 /// One exchange with a target, and what it teaches.
 
 #include "entry/passage.hpp"
+#include "entry/rate_limits.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -217,6 +218,7 @@
   target->mLoad.mLastSend = started;
   NoteRegion(aEntry.mRegionShare, aPassage.mChoice.mWishFar,
              aPassage.mChoice.mFar, aPassage.mChoice.mStrict, started);
+  NoteLimitedSend(aEntry, *target);
   ++aPassage.mSends;
   auto request = ForTarget(aEntry, aPassage, *target, started);
   auto options = OptionsFor(aEntry, aPassage);
@@ -246,6 +248,9 @@
   if (result.mConnectTime) {
     took -= std::chrono::duration_cast<Millis>(*result.mConnectTime);
   }
+  if (result.mResponse->mStatus != aEntry.mPlatform.mWrongTargetStatus) {
+    LearnLimit(aEntry, *target, *result.mResponse, started, now);
+  }
   LearnAnswer(aEntry, aPassage, *target, *result.mResponse, took, now);
   co_return JudgeAnswer(aEntry, aPassage, *target, std::move(*result.mResponse),
                         now);
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -1,4 +1,5 @@
 #include "entry/entry.hpp"
+#include "entry/rate_limits.hpp"
 
 #include "fixtures.hpp"
 #include "scripted_server.hpp"
@@ -30,11 +31,15 @@
 PlatformAdapter MakeAdapter()
 {
   PlatformAdapter out;
-  out.mHeaders = { "Id", "Time-Left", "Target", "Not-Run", "Load", "Proof" };
+  out.mHeaders = { "Id",   "Time-Left", "Target", "Not-Run",
+                   "Load", "Proof",     "Limit" };
   out.mObjectOf = [](const HttpRequest&) { return std::string("object"); };
   out.mReadLoad = [](std::string_view) {
     return std::optional<ReportedLoad>();
   };
+  out.mReadRateLimit = [](std::string_view a) {
+    return a == "bad" ? std::optional<double>() : std::stod(std::string(a));
+  };
   return out;
 }
 
@@ -407,6 +412,51 @@
   cr_assert(requests.empty());
 }
 
+namespace {
+
+ScriptedAnswer NameLimit(int, const std::string&)
+{
+  return { Answer(200, "Proof: p\r\nLimit: 2.5\r\n") };
+}
+
+} // namespace
+
+Test(forward, a_limit_that_a_target_names_is_known_until_it_names_none)
+{
+  Bed bed(RequestKind::Idempotent);
+  std::string headers;
+  bed.Add([&](int, const std::string&) -> ScriptedAnswer {
+    return { Answer(200, "Proof: p\r\n" + headers) };
+  });
+  const auto& limit = bed.mEntry.mRegistry.mTargets.at("t1")->mLimit;
+  bed.Send();
+  cr_assert_not(limit.mStatement.mPerSecond.has_value());
+  headers = "Limit: 250.5\r\n";
+  bed.Send();
+  cr_assert_eq(limit.mStatement.mPerSecond, 250.5);
+  headers = "Limit: bad\r\n";
+  bed.Send();
+  cr_assert_eq(limit.mStatement.mPerSecond, 250.5);
+  headers.clear();
+  bed.Send();
+  cr_assert_not(limit.mStatement.mPerSecond.has_value());
+  const auto text = bed.mEntry.mMetrics.Text();
+  cr_assert_neq(text.find("limited_requests_total{service=\"service\"} 2\n"),
+                std::string::npos, "%s", text.c_str());
+}
+
+Test(forward, an_answer_of_another_process_says_nothing_of_a_limit)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(NameLimit);
+  bed.Send();
+  const auto target = bed.mEntry.mRegistry.mTargets.at("t1");
+  HttpResponse unproven;
+  unproven.mStatus = 200;
+  LearnLimit(bed.mEntry, *target, unproven, Clock::now(), Clock::now());
+  cr_assert_eq(target->mLimit.mStatement.mPerSecond, 2.5);
+}
+
 // Guards against run times that outlive the move of a route: a slow service's
 // times let all requests for a fast one be refused as too late, and without
 // requests nothing better was learned.
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -179,6 +179,16 @@
   cr_assert_not(ReadLookup(request).has_value());
 }
 
+Test(platform, a_rate_limit_is_a_decimal_number_of_requests_a_second)
+{
+  cr_assert_eq(ReadRateLimit("1.7"), 1.7);
+  cr_assert_eq(ReadRateLimit("12"), 12.0);
+  cr_assert_eq(ReadRateLimit("0"), 0.0);
+  for (const auto* it : { "", "-1", "nan", "inf", "1.7/s", "1e3", "two" }) {
+    cr_assert_not(ReadRateLimit(it).has_value(), "%s", it);
+  }
+}
+
 Test(platform, an_entry_record_survives_being_written)
 {
   EntryRecord record;
