Test the limits that targets name, over entries; listed as known red

The soak lets three targets name 0.25 a second for 9 to 13 s and counts the runs of entries that know of it, in touch. These limits come beside the five impairments at once that there were.

The check of the soak has a test of its own, soak_checks::a_target_that_gets_more_than_its_limit_is_found.

--- a/testing/history/event.cpp
+++ b/testing/history/event.cpp
@@ -8,13 +8,13 @@
 
 BOOST_DESCRIBE_ENUM(EventKind, CallSent, CallAnswered, CallFailed, CallEnded,
                     RunStarted, RunEnded, RunCancelled, TargetShed,
-                    TargetLeaving, StopPlanned, ConfigurationAccepted,
-                    ConfigurationSeen)
+                    TargetLeaving, TargetLimited, StopPlanned,
+                    ConfigurationAccepted, ConfigurationSeen)
 BOOST_DESCRIBE_STRUCT(Event, (),
                       (mMicros, mKind, mIdentity, mService, mClass, mPlace,
                        mRegion, mPeer, mRan, mDigest, mOutcome, mStatus,
                        mInFlight, mSlots, mVersion, mLatencyMicros, mAttempt,
-                       mWeight))
+                       mWeight, mPerSecond))
 
 std::int64_t NowMicros() noexcept
 {
--- a/testing/history/event.hpp
+++ b/testing/history/event.hpp
@@ -21,6 +21,7 @@
   RunCancelled,
   TargetShed,            ///< A target refused for lack of slots.
   TargetLeaving,         ///< A target announced that it leaves.
+  TargetLimited,         ///< A target named a rate limit, or ended it.
   StopPlanned,           ///< An entry was told to stop.
   ConfigurationAccepted, ///< The store took a version.
   ConfigurationSeen,     ///< An entry said that it has a version in force.
@@ -47,6 +48,7 @@
   std::int64_t mLatencyMicros = 0;
   std::int64_t mAttempt = 0; ///< Number within its identity, from 1.
   std::int64_t mWeight = 0;  ///< Of mService in a split, in percent.
+  double mPerSecond = 0;     ///< Rate limit of mPeer; 0 for none.
 };
 
 /// @returns the present time on the clock of histories
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -192,6 +192,72 @@
   return out;
 }
 
+/// A rate limit that a target names, and the runs that count towards it.
+struct NamedLimit
+{
+  std::int64_t mSince = 0;
+  double mPerSecond = 0;
+  std::map<std::string, std::int64_t> mKnownSince; ///< By entry.
+  std::deque<std::int64_t> mRuns;                  ///< In the last window.
+  bool mBroken = false;
+};
+
+/// Counts a run of an entry that knows of the limit.
+void CountLimitedRun(const SoakHistory& aHistory, const Event& aRun,
+                     NamedLimit& aLimit)
+{
+  const auto& bounds = aHistory.mBounds;
+  const auto known = aLimit.mKnownSince.find(aRun.mPlace);
+  if (aRun.mMicros < aLimit.mSince + Micros(bounds.mLimitBinds) ||
+      known == aLimit.mKnownSince.end() ||
+      aRun.mMicros < known->second + Micros(bounds.mLimitKnown) ||
+      !IsInTouch(aHistory, { aRun.mPlace, StopOf(aRun.mPlace), aRun.mPeer },
+                 aLimit.mSince, aRun.mMicros)) {
+    return;
+  }
+  auto& runs = aLimit.mRuns;
+  runs.push_back(aRun.mMicros);
+  while (runs.front() < aRun.mMicros - Micros(bounds.mLimitWindow)) {
+    runs.pop_front();
+  }
+}
+
+/// Targets that got more requests than the rate limits that they named.
+Lines CheckLimits(const SoakHistory& aHistory)
+{
+  Lines out;
+  const auto& bounds = aHistory.mBounds;
+  const std::chrono::duration<double> window = bounds.mLimitWindow;
+  std::map<std::string, NamedLimit> limits; // By target.
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind == EventKind::TargetLimited) {
+      limits.erase(it.mPeer);
+      if (it.mPerSecond > 0) {
+        limits[it.mPeer] = { it.mMicros, it.mPerSecond, {}, {}, false };
+      }
+    }
+    const auto found = limits.find(it.mPeer);
+    if (found == limits.end()) {
+      continue;
+    }
+    auto& limit = found->second;
+    if (it.mKind == EventKind::RunEnded) {
+      limit.mKnownSince.emplace(it.mPlace, it.mMicros);
+    } else if (it.mKind == EventKind::RunStarted) {
+      CountLimitedRun(aHistory, it, limit);
+    }
+    const double most = limit.mPerSecond * window.count() * bounds.mLimitOver +
+                        bounds.mLimitSlack;
+    if (!limit.mBroken && static_cast<double>(limit.mRuns.size()) > most) {
+      limit.mBroken = true;
+      out.push_back("limit exceeded: " + std::to_string(limit.mRuns.size()) +
+                    " runs where " + std::to_string(most) +
+                    " are allowed: " + At(it));
+    }
+  }
+  return out;
+}
+
 /// Requests that a planned stop cut although a target was at work on them.
 Lines CheckStops(const SoakHistory& aHistory)
 {
@@ -282,7 +348,8 @@
        { CheckAtMostOnce(aHistory.mEvents), CheckTruth(aHistory.mEvents),
          CheckOwnAnswers(aHistory.mEvents), CheckAsked(aHistory),
          CheckDrain(aHistory), CheckRouting(aHistory), CheckWeights(aHistory),
-         CheckStops(aHistory), CheckRecovery(aHistory) }) {
+         CheckLimits(aHistory), CheckStops(aHistory),
+         CheckRecovery(aHistory) }) {
     out.insert(out.end(), lines.begin(), lines.end());
   }
   return out;
--- a/testing/soak/checks.hpp
+++ b/testing/soak/checks.hpp
@@ -35,6 +35,13 @@
   double mServedAfterwards = 0.25;
   std::size_t mSplitRequests = 200; ///< Over which weights must hold.
   double mMostOffWeight = 0.2;
+  /// Rate limits bind this long after they are named, for entries that know of
+  /// them for a while, within each window.
+  Millis mLimitBinds{ 4'000 };
+  Millis mLimitKnown{ 500 };
+  Millis mLimitWindow{ 4'000 };
+  double mLimitOver = 1.5; ///< Factor on the limit, ...
+  double mLimitSlack = 5;  ///< ... and requests on top of it.
 };
 
 /// Everything a soak saw.
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -18,8 +18,15 @@
 constexpr Millis kMostGap{ 1'200 };
 constexpr Millis kLeastTime{ 200 };
 constexpr Millis kMostTime{ 5'000 };
+/// Targets that name a rate limit, which is a small part of what they get.
+constexpr std::size_t kLimits = 3;
+constexpr double kLimitPerSecond = 0.25;
+/// A limit binds some seconds after it is named.
+constexpr Millis kLeastLimitTime{ 9'000 };
+constexpr Millis kMostLimitTime{ 13'000 };
 /// From SIGTERM until the platform would kill the process.
 constexpr Millis kGrace{ 6'000 };
+/// Impairments at once, besides the limits.
 constexpr std::size_t kMostAtOnce = 5;
 
 /// An impairment that has begun.
@@ -79,10 +86,13 @@
   void Trouble(TimePoint aEnd)
   {
     auto next = Clock::now();
+    for (std::size_t n = 0; n < kLimits; ++n) {
+      Limit();
+    }
     while (Clock::now() < aEnd || !mOpen.empty()) {
       EndDue(Clock::now());
       if (Clock::now() >= next && Clock::now() < aEnd &&
-          mOpen.size() < kMostAtOnce) {
+          mOpen.size() < kMostAtOnce + kLimits) {
         Begin();
         next = Clock::now() + Between(kLeastGap, kMostGap);
       }
@@ -348,6 +358,19 @@
     }
   }
 
+  void Limit()
+  {
+    if (const auto n = FreeTarget()) {
+      mWorld.LimitTarget(*n, kLimitPerSecond);
+      // A limit harms nothing: the record names nobody.
+      Add("limit", mWorld.TargetId(*n).c_str(),
+          Between(kLeastLimitTime, kMostLimitTime), [this, target = *n] {
+            mWorld.LimitTarget(target, 0);
+            mBusyTargets.erase(target);
+          });
+    }
+  }
+
   void Change() { mWorld.ChangeRouting(); }
 
   void Evacuate()
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -386,6 +386,19 @@
   OnWorld([&] { mTargets[aTarget].mTarget->SetSlow(aFactor); });
 }
 
+void World::LimitTarget(std::size_t aTarget, double aPerSecond)
+{
+  OnWorld([&] {
+    auto& target = *mTargets[aTarget].mTarget;
+    target.SetLimit(aPerSecond);
+    Event event;
+    event.mKind = EventKind::TargetLimited;
+    event.mPeer = target.About().mId;
+    event.mPerSecond = aPerSecond;
+    mHistory.Add(std::move(event));
+  });
+}
+
 void World::PutRouting()
 {
   mStore.Put("config", "main", MakeConfiguration(mVersion));
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -81,6 +81,8 @@
   /// A target says that it leaves; it still serves what it gets.
   void DrainTarget(std::size_t aTarget);
   void SlowTarget(std::size_t aTarget, double aFactor);
+  /// A target names a rate limit, or ends it with 0.
+  void LimitTarget(std::size_t aTarget, double aPerSecond);
 
   /// Moves the reads to the other service and changes the weights of the
   /// split route.
--- a/testing/standin/platform_target.cpp
+++ b/testing/standin/platform_target.cpp
@@ -100,6 +100,9 @@
     mContext, Millis(static_cast<std::int64_t>(spread(mRandom) * mSlow)));
   co_await timer.async_wait(asio::use_awaitable);
   run.Finish();
+  if (mPerSecond > 0) {
+    out.mHeaders.push_back({ "Server-Limit", std::to_string(mPerSecond) });
+  }
   out.mHeaders.push_back({ "X-Server-Seal", mOptions.mId });
   out.mHeaders.push_back(
     { "X-Backend-Load", std::to_string(mInFlight - 1) + ",0," +
--- a/testing/standin/platform_target.hpp
+++ b/testing/standin/platform_target.hpp
@@ -40,6 +40,8 @@
   void Become(std::string aId, std::string aService);
   /// Makes runs longer.
   void SetSlow(double aFactor) noexcept { mSlow = aFactor; }
+  /// Names a rate limit in answers; 0 for none.
+  void SetLimit(double aPerSecond) noexcept { mPerSecond = aPerSecond; }
   [[nodiscard]] const PlatformTargetOptions& About() const noexcept
   {
     return mOptions;
@@ -57,6 +59,7 @@
   std::mt19937_64 mRandom;
   std::unique_ptr<detail::HttpServer> mServer;
   double mSlow = 1;
+  double mPerSecond = 0;
   std::uint32_t mInFlight = 0;
 };
 
--- /dev/null
+++ b/tests/unit/limit_sharing_test.cpp
@@ -0,0 +1,196 @@
+#include "entry/entry.hpp"
+
+#include "fixtures.hpp"
+#include "scripted_server.hpp"
+
+#include <guavaline/core/hash.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace guavaline;
+using namespace guavaline::detail;
+using namespace std::chrono_literals;
+using tests::ScriptedAnswer;
+using tests::ScriptedServer;
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// What a target may get in some 4 s, from the platform's pages.
+constexpr double kOver = 1.5;
+constexpr double kSlack = 5;
+
+PlatformAdapter MakeAdapter(std::mt19937_64& aObjects)
+{
+  PlatformAdapter out;
+  out.mHeaders = { "Id",   "Time-Left", "Target", "Not-Run",
+                   "Load", "Proof",     "Limit" };
+  out.mObjectOf = [&](const HttpRequest&) { return HexId(aObjects()); };
+  out.mReadLoad = [](std::string_view) {
+    return std::optional<ReportedLoad>();
+  };
+  out.mReadRateLimit = [](std::string_view a) {
+    return std::optional<double>(std::stod(std::string(a)));
+  };
+  return out;
+}
+
+/// Entries of one region with the same targets, of which some name a limit.
+class RegionOfEntries
+{
+public:
+  explicit RegionOfEntries(int aEntries)
+  {
+    for (int n = 0; n < aEntries; ++n) {
+      mEntries.push_back(std::make_unique<Entry>(
+        mContext, tests::EntrySettingsOf("e" + std::to_string(n)),
+        MakeAdapter(mObjects)));
+      SetUp(*mEntries.back());
+    }
+    for (const auto& it : mEntries) {
+      for (const auto& other : mEntries) {
+        TakeRecord(it->mRoster, other->mRoster.mSelf, Clock::now());
+      }
+    }
+  }
+
+  void AddTarget(const std::string& aHeaders)
+  {
+    const auto script = [aHeaders](int, const std::string&) -> ScriptedAnswer {
+      return { "HTTP/1.1 200 Any\r\nProof: p\r\n" + aHeaders +
+               "Content-Length: 2\r\n\r\nok" };
+    };
+    mTargets.push_back(std::make_unique<ScriptedServer>(mContext, script));
+    Registration target;
+    target.mId = "t" + std::to_string(mTargets.size());
+    target.mService = "service";
+    target.mAddress = "127.0.0.1:" + std::to_string(mTargets.back()->Port());
+    target.mFailureDomain = "d1";
+    target.mSlots = 4;
+    for (const auto& it : mEntries) {
+      TakeRegistration(it->mRegistry, target, Clock::now());
+    }
+  }
+
+  /// Sends one request through each entry in turn.
+  /// @returns how many were served
+  int SendAll(int aRounds)
+  {
+    int served = 0;
+    for (int n = 0; n < aRounds; ++n) {
+      for (const auto& it : mEntries) {
+        mLast = Send(*it);
+        served += mLast.mStatus == 200 ? 1 : 0;
+      }
+    }
+    return served;
+  }
+
+  [[nodiscard]] int Runs(std::size_t aTarget) const
+  {
+    return mTargets[aTarget]->Requests();
+  }
+  [[nodiscard]] const HttpResponse& Last() const noexcept { return mLast; }
+  [[nodiscard]] Entry& At(std::size_t aEntry) { return *mEntries[aEntry]; }
+
+private:
+  static void SetUp(Entry& aEntry)
+  {
+    Route route;
+    route.mName = "route";
+    route.mHost = "a.example";
+    route.mPathPrefix = "/x/";
+    route.mKind = RequestKind::Idempotent;
+    route.mMostTargets = 2;
+    route.mServices = { { "service", 1 } };
+    aEntry.mRouting.mVersion = 3;
+    aEntry.mRouting.mRoutes = { route };
+    for (const auto it : { ObjectKind::Targets, ObjectKind::Evacuations }) {
+      aEntry.mFollows[it].mView.mListed = true;
+      aEntry.mFollows[it].mView.mConfirmed = Clock::now();
+    }
+  }
+
+  HttpResponse Send(Entry& aEntry)
+  {
+    HttpResponse out;
+    asio::co_spawn(
+      mContext,
+      [&]() -> asio::awaitable<void> {
+        HttpRequest request;
+        request.mTarget = "/x/1";
+        request.mArrived = Clock::now();
+        request.mHeaders = { { "Host", "a.example" },
+                             { "Id", "q" },
+                             { "Time-Left", "9000" } };
+        out = co_await ForwardRequest(aEntry, std::move(request));
+        mContext.stop();
+      },
+      asio::detached);
+    mContext.restart();
+    mContext.run();
+    return out;
+  }
+
+  std::mt19937_64 mObjects{ 1 };
+  asio::io_context mContext{ 1 };
+  std::vector<std::unique_ptr<Entry>> mEntries;
+  std::vector<std::unique_ptr<ScriptedServer>> mTargets;
+  HttpResponse mLast;
+};
+
+/// @returns the most requests that a target with a limit may get, from entries
+///          each of which learns of it by one request of its own
+double MostFor(double aPerSecond, int aEntries, TimePoint aBegan)
+{
+  const std::chrono::duration<double> took = Clock::now() - aBegan;
+  return kOver * aPerSecond * std::max(4.0, took.count()) + kSlack + aEntries;
+}
+
+} // namespace
+
+// Guards against limits that no entry heeds: a target that named one got as
+// many requests as any other.
+Test(limit_sharing, a_target_gets_no_more_than_the_limit_that_it_names)
+{
+  RegionOfEntries region(1);
+  region.AddTarget("Limit: 0.5\r\n");
+  region.AddTarget("");
+  const auto began = Clock::now();
+  cr_assert_eq(region.SendAll(80), 80);
+  cr_assert_leq(region.Runs(0), MostFor(0.5, 1, began), "%d runs",
+                region.Runs(0));
+}
+
+// Guards against entries that each use the whole of a target's limit.
+Test(limit_sharing, entries_share_a_limit)
+{
+  RegionOfEntries region(12);
+  region.AddTarget("Limit: 1.7\r\n");
+  region.AddTarget("");
+  const auto began = Clock::now();
+  cr_assert_eq(region.SendAll(20), 240);
+  cr_assert_leq(region.Runs(0), MostFor(1.7, 12, began), "%d runs",
+                region.Runs(0));
+}
+
+// Guards against requests that wait for, or are sent to, targets none of which
+// takes more.
+Test(limit_sharing, what_no_target_takes_is_refused_at_once)
+{
+  RegionOfEntries region(1);
+  region.AddTarget("Limit: 0.5\r\n");
+  region.AddTarget("Limit: 0.5\r\n");
+  const auto began = Clock::now();
+  cr_assert_lt(region.SendAll(80), 80);
+  cr_assert_leq(region.Runs(0), MostFor(0.5, 1, began), "%d runs",
+                region.Runs(0));
+  cr_assert_leq(region.Runs(1), MostFor(0.5, 1, began), "%d runs",
+                region.Runs(1));
+  cr_assert_eq(region.Last().mStatus, 503U);
+  cr_assert_not(FindHeader(region.Last().mHeaders, "Retry-After").empty());
+}
--- a/tests/unit/soak_checks_test.cpp
+++ b/tests/unit/soak_checks_test.cpp
@@ -177,3 +177,46 @@
   history.mImpairments = { { "t7", 49 * kSecond, 49 * kSecond + 1 } };
   cr_assert_eq(Broken(history), 0U);
 }
+
+namespace {
+
+/// Adds runs at a target, one each aGap microseconds.
+void AddRuns(SoakHistory& aHistory, std::int64_t aFrom, int aRuns,
+             std::int64_t aGap)
+{
+  for (int n = 0; n < aRuns; ++n) {
+    const auto id = "run" + std::to_string(aFrom) + "-" + std::to_string(n);
+    const auto at = aFrom + n * aGap;
+    aHistory.mEvents.push_back(MakeEvent(at, EventKind::CallSent, id.c_str()));
+    aHistory.mEvents.push_back(
+      MakeEvent(at + 1, EventKind::RunStarted, id.c_str()));
+    aHistory.mEvents.push_back(
+      MakeEvent(at + 2, EventKind::RunEnded, id.c_str()));
+    auto answer = MakeEvent(at + 3, EventKind::CallAnswered, id.c_str());
+    answer.mRan = "yes";
+    aHistory.mEvents.push_back(answer);
+  }
+}
+
+} // namespace
+
+Test(soak_checks, a_target_that_gets_more_than_its_limit_is_found)
+{
+  auto history = MakeCalm();
+  auto named = MakeEvent(10 * kSecond, EventKind::TargetLimited, "");
+  named.mPerSecond = 1;
+  history.mEvents.push_back(named);
+  // Before it binds; then no more than 11 in 4 s.
+  AddRuns(history, 11 * kSecond, 30, kSecond / 10);
+  AddRuns(history, 20 * kSecond, 11, kSecond / 10);
+  cr_assert_eq(Broken(history), 0U);
+  AddRuns(history, 30 * kSecond, 12, kSecond / 10);
+  cr_assert_eq(Broken(history), 1U);
+  history.mImpairments = { { "e1", 29 * kSecond, 29 * kSecond + 1 } };
+  cr_assert_eq(Broken(history), 0U);
+  history.mImpairments.clear();
+  named.mMicros = 29 * kSecond;
+  named.mPerSecond = 0;
+  history.mEvents.push_back(named);
+  cr_assert_eq(Broken(history), 0U);
+}
