Keep the rate limits that targets name, over all entries together

Class of fault: a bound that is stated at run time by the other side, for all entries together, was no input of the decision.

Why it works: all entries order themselves for each target by a hash; the first few of those that serve callers in its region share the limit, each with a token bucket of its part. A full burst of all and four seconds of the rate stay below the bound. What does not fit is placed at the object's next owner or refused at once with the time of the next token (reason=limited). The limit is kept with the target's present life and ends with the first answer that bears the target's mark and does not name it; that end is pushed to all entries, since those that send nothing get no answer. Entries tell in heartbeats what targets said to themselves only, so that old news does not go round; an entry that starts hears of limits before its first request. Heartbeats without limits are as before, so builds before this one hear them; with limits they do not.

--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -55,6 +55,7 @@
   None = 1,
   NoTarget, ///< None may serve it.
   Full,     ///< All that should serve it have long queues.
+  Limited,  ///< Those that should serve it take no more for a while.
   Bound,    ///< There is room, but only beyond the leeway between regions.
   TooLate,  ///< It would not end before its deadline.
 };
--- a/include/guavaline/roster/roster.hpp
+++ b/include/guavaline/roster/roster.hpp
@@ -5,6 +5,7 @@
 /// told of live entries of their own region.
 
 #include <guavaline/core/time.hpp>
+#include <guavaline/placement/rate_limit.hpp>
 #include <guavaline/roster/serving.hpp>
 
 #include <cstdint>
@@ -126,6 +127,16 @@
 /// @returns how many entries share limits; never below what was seen
 [[nodiscard]] std::size_t SharingEntries(const Roster& aRoster) noexcept;
 
+/// @returns this entry's share of a target's rate limit. The entries of the
+///          target's region share it that serve callers; all entries do where
+///          that region has none.
+/// @param aTarget  hash of the target, which gives the order of the entries
+/// @param aMost    most entries that share it
+[[nodiscard]] LimitShare ShareOf(const Roster& aRoster,
+                                 const std::string& aRegion,
+                                 std::uint64_t aTarget, std::size_t aMost,
+                                 TimePoint aNow);
+
 /// @returns records of dead entries that this entry is to remove
 [[nodiscard]] std::vector<EntryRecord> RecordsToRemove(const Roster& aRoster,
                                                        TimePoint aNow);
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -84,6 +84,8 @@
       return "no_target";
     case PlacementRefusal::Full:
       return "full";
+    case PlacementRefusal::Limited:
+      return "limited";
     case PlacementRefusal::Bound:
       return "shift_bound";
     case PlacementRefusal::TooLate:
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -37,6 +37,9 @@
   for (const auto it : ListCrashers(aEntry.mCrashers, now, kMostCrashersTold)) {
     out.mCrashers.push_back(HexId(it));
   }
+  if (auto limits = TellLimits(aEntry, now); !limits.empty()) {
+    out.mLimits = std::move(limits);
+  }
   return ToJson(out);
 }
 
@@ -63,6 +66,7 @@
       NoteRefusedByPeer(aEntry.mCrashers, digest, now);
     }
   }
+  HearLimits(aEntry, heartbeat.mLimits.value_or(std::vector<LimitNews>()), now);
   return HearViews(aEntry, heartbeat.mViews, now);
 }
 
@@ -191,6 +195,10 @@
     TakeWarmNews(aEntry, aBody);
     co_return std::string("{}");
   }
+  if (aKind == kLimitKind) {
+    TakeLimitNews(aEntry, aBody);
+    co_return std::string("{}");
+  }
   // The caller pulls from the answer what it lacks; what this entry lacks it
   // pulls in its own turn.
   if (aKind != kHeartbeatKind || !TakeIn(aEntry, aBody)) {
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -4,6 +4,7 @@
 
 #include "codec/described.hpp"
 #include "entry/entry.hpp"
+#include "entry/rate_limits.hpp"
 
 namespace guavaline::detail {
 
@@ -13,6 +14,7 @@
 inline constexpr const char* kPullKind = "entry-view-changes";
 inline constexpr const char* kPushKind = "entry-view-news";
 inline constexpr const char* kWarmKind = "entry-warm-news";
+inline constexpr const char* kLimitKind = "entry-limit-news";
 
 /// Objects that targets lately served, by WarmId.
 struct WarmNews
@@ -20,6 +22,12 @@
   std::vector<std::uint64_t> mServed;
 };
 
+/// What targets said of their rate limits.
+struct LimitMessage
+{
+  std::vector<LimitNews> mLimits;
+};
+
 /// How far a view goes, and how long ago the store confirmed it.
 struct ViewNews
 {
@@ -44,6 +52,7 @@
   RegionNews mRegion;
   std::vector<std::string> mCrashers; ///< Digests of requests that crash.
   std::vector<ViewNews> mViews;
+  std::optional<std::vector<LimitNews>> mLimits; ///< Left out where empty.
 };
 
 /// Asks for the changes of a view after a revision.
@@ -65,9 +74,11 @@
 };
 
 BOOST_DESCRIBE_STRUCT(WarmNews, (), (mServed))
+BOOST_DESCRIBE_STRUCT(LimitNews, (), (mTarget, mStarted, mPerSecond, mAge))
+BOOST_DESCRIBE_STRUCT(LimitMessage, (), (mLimits))
 BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge))
 BOOST_DESCRIBE_STRUCT(RegionNews, (), (mEntries, mCounters, mRates, mLeaving))
-BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mRegion, mCrashers, mViews))
+BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mRegion, mCrashers, mViews, mLimits))
 BOOST_DESCRIBE_STRUCT(ViewQuestion, (), (mKind, mFrom))
 BOOST_DESCRIBE_STRUCT(ViewMessage, (),
                       (mView, mFrom, mWhole, mNames, mSpecs, mRevisions))
@@ -102,6 +113,12 @@
 /// Takes in changes that a peer sent unasked.
 void TakePush(Entry& aEntry, const std::string& aBody);
 
+/// Tells all entries what a target said of its limit.
+void PushLimitNews(Entry& aEntry, const LimitNews& aNews);
+
+/// Takes in what targets said to a peer of their limits.
+void TakeLimitNews(Entry& aEntry, const std::string& aBody);
+
 /// Takes in which objects a peer had served.
 void TakeWarmNews(Entry& aEntry, const std::string& aBody);
 
--- a/src/entry/rate_limits.cpp
+++ b/src/entry/rate_limits.cpp
@@ -1,7 +1,8 @@
 #include "entry/rate_limits.hpp"
 
-#include "entry/entry.hpp"
+#include "entry/messages.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <utility>
@@ -10,6 +11,9 @@
 
 namespace {
 
+/// Bounds the bytes of a heartbeat.
+constexpr std::size_t kMostTold = 16;
+
 std::string RateText(const std::optional<double>& aPerSecond)
 {
   if (!aPerSecond) {
@@ -35,7 +39,27 @@
   return "";
 }
 
-void LogChange(const LiveTarget& aTarget, LimitChange aChange)
+void Share(const Entry& aEntry, LiveTarget& aTarget, TimePoint aNow)
+{
+  const auto limit = aTarget.mLimit.mStatement.mPerSecond;
+  if (limit) {
+    SetShare(aTarget.mLimit,
+             ShareOf(aEntry.mRoster, aTarget.mRegion, aTarget.mHash,
+                     MostSharing(*limit), aNow),
+             aNow);
+  }
+}
+
+LimitNews NewsOf(const LiveTarget& aTarget, TimePoint aNow)
+{
+  const auto& statement = aTarget.mLimit.mStatement;
+  const auto age = std::chrono::duration_cast<Millis>(aNow - statement.mStated);
+  return { aTarget.mRegistration.mId, aTarget.mRegistration.mStarted,
+           statement.mPerSecond, age };
+}
+
+void LogChange(const LiveTarget& aTarget, LimitChange aChange,
+               const char* aSource)
 {
   if (aChange == LimitChange::None) {
     return;
@@ -45,11 +69,71 @@
     { { "target", aTarget.mRegistration.mId },
       { "service", aTarget.mRegistration.mService },
       { "change", NameOf(aChange) },
-      { "limit_per_s", RateText(aTarget.mLimit.mStatement.mPerSecond) } });
+      { "limit_per_s", RateText(aTarget.mLimit.mStatement.mPerSecond) },
+      { "source", aSource },
+      { "sharing", std::to_string(aTarget.mLimit.mShare.mSharing) },
+      { "rank", std::to_string(aTarget.mLimit.mShare.mRank) } });
+}
+
+/// Takes in an answer. Entries that send the target nothing learn only from
+/// others that its limit has ended, so that they are told at once.
+void TakeIn(Entry& aEntry, LiveTarget& aTarget,
+            std::optional<double> aPerSecond, TimePoint aSent, TimePoint aNow)
+{
+  const auto change = TakeAnswer(aTarget.mLimit, aPerSecond, aSent, aNow);
+  if (change == LimitChange::None) {
+    return;
+  }
+  Share(aEntry, aTarget, aNow);
+  LogChange(aTarget, change, "answer");
+  if (change == LimitChange::Ended) {
+    PushLimitNews(aEntry, NewsOf(aTarget, aNow));
+  }
 }
 
 } // namespace
 
+std::vector<LimitNews> TellLimits(const Entry& aEntry, TimePoint aNow)
+{
+  std::vector<LimitNews> out;
+  for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
+    if (IsToBeTold(target->mLimit, aNow)) {
+      out.push_back(NewsOf(*target, aNow));
+    }
+  }
+  std::sort(out.begin(), out.end(), [](const LimitNews& a, const LimitNews& b) {
+    return a.mAge < b.mAge;
+  });
+  out.resize(std::min(out.size(), kMostTold));
+  return out;
+}
+
+void HearLimits(Entry& aEntry, const std::vector<LimitNews>& aNews,
+                TimePoint aNow)
+{
+  for (const auto& it : aNews) {
+    const auto found = aEntry.mRegistry.mTargets.find(it.mTarget);
+    if (found == aEntry.mRegistry.mTargets.end() ||
+        found->second->mRegistration.mStarted != it.mStarted) {
+      continue;
+    }
+    auto& target = *found->second;
+    const auto change =
+      TakeNews(target.mLimit, it.mPerSecond, aNow - it.mAge, aNow);
+    if (change != LimitChange::None) {
+      Share(aEntry, target, aNow);
+      LogChange(target, change, "entry");
+    }
+  }
+}
+
+void ShareLimits(Entry& aEntry, TimePoint aNow)
+{
+  for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
+    Share(aEntry, *target, aNow);
+  }
+}
+
 void LearnLimit(Entry& aEntry, LiveTarget& aTarget, const HttpResponse& aAnswer,
                 TimePoint aSent, TimePoint aNow)
 {
@@ -58,7 +142,7 @@
   if (text.empty()) {
     // Only the target's own program can say that a limit has ended.
     if (!FindHeader(aAnswer.mHeaders, names.mProof).empty()) {
-      LogChange(aTarget, TakeAnswer(aTarget.mLimit, {}, aSent, aNow));
+      TakeIn(aEntry, aTarget, std::nullopt, aSent, aNow);
     }
     return;
   }
@@ -71,15 +155,15 @@
                  { "allowed", "requests a second, a decimal number" } });
     return;
   }
-  LogChange(aTarget, TakeAnswer(aTarget.mLimit, limit, aSent, aNow));
+  TakeIn(aEntry, aTarget, limit, aSent, aNow);
 }
 
-void NoteLimitedSend(Entry& aEntry, LiveTarget& aTarget)
+void NoteLimitedSend(Entry& aEntry, LiveTarget& aTarget, TimePoint aNow)
 {
   if (!aTarget.mLimit.mStatement.mPerSecond) {
     return;
   }
-  ++aTarget.mLimit.mSent;
+  NoteSend(aTarget.mLimit, aNow);
   aEntry.mMetrics.Count("limited_requests",
                         "service=\"" + aTarget.mRegistration.mService + "\"");
 }
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -186,6 +186,23 @@
   }
 }
 
+void PushLimitNews(Entry& aEntry, const LimitNews& aNews)
+{
+  std::vector<EntryRecord> peers;
+  for (const auto& [name, entry] : aEntry.mRoster.mOthers) {
+    peers.push_back(entry.mRecord);
+  }
+  PushToAll(aEntry, peers, kLimitKind, ToJson(LimitMessage{ { aNews } }));
+}
+
+void TakeLimitNews(Entry& aEntry, const std::string& aBody)
+{
+  LimitMessage message;
+  if (FromJson(aBody, message).empty()) {
+    HearLimits(aEntry, message.mLimits, Clock::now());
+  }
+}
+
 void TakeWarmNews(Entry& aEntry, const std::string& aBody)
 {
   WarmNews news;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -124,6 +124,7 @@
     ForgetOldCrashes(aEntry.mCrashers, now);
     NoteLiveEntries(aEntry, now);
     ServeByLoad(aEntry, now);
+    ShareLimits(aEntry, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
     aEntry.mTargetClient.DropExpired(now);
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -218,7 +218,7 @@
   target->mLoad.mLastSend = started;
   NoteRegion(aEntry.mRegionShare, aPassage.mChoice.mWishFar,
              aPassage.mChoice.mFar, aPassage.mChoice.mStrict, started);
-  NoteLimitedSend(aEntry, *target);
+  NoteLimitedSend(aEntry, *target, started);
   ++aPassage.mSends;
   auto request = ForTarget(aEntry, aPassage, *target, started);
   auto options = OptionsFor(aEntry, aPassage);
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -17,6 +17,8 @@
     { "answered", "a target answered" },
     { "target_failed", "the target itself answered with a failure" },
     { "full", "not run: every target that should serve it had a long queue" },
+    { "limited", "not run: all targets that should serve it name a rate limit, "
+                 "and take no more for a while" },
     { "shift_bound", "not run: its region is full, and the bound on shifts "
                      "between regions kept it there" },
     { "too_late", "not run: it could not end before its deadline" },
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -144,7 +144,9 @@
 {
   Owners<kNearOwners> mNear;
   Owners<kFarOwners> mFar;
-  Owners<1> mCold;                ///< Used where there is no other.
+  Owners<1> mCold; ///< Used where there is no other.
+  /// When the first target takes one more that now takes none by its limit.
+  std::optional<Millis> mLimitedFor;
   std::vector<LiveTarget*> mWarm; ///< Known to be, and no owners above.
   bool mAny = false;
 };
@@ -161,6 +163,11 @@
       continue;
     }
     out.mAny = true;
+    const auto limited = LimitedFor(it->mLimit, it->mLoad.mLastSend, aNow);
+    if (limited > Millis(0)) {
+      out.mLimitedFor = std::min(limited, out.mLimitedFor.value_or(limited));
+      continue;
+    }
     const Candidate candidate{ it.get(), HashPair(aRequest.mKey, it->mHash) };
     if (aNow < it->mColdUntil) {
       if (MaySendCold(*it, aView.mCold, aView.mEntries, aNow)) {
@@ -266,11 +273,15 @@
   if (shortest) {
     out = shortest->mChoice;
     out.mClearsIn = TimeToClear(*shortest);
+    out.mRefusal = PlacementRefusal::Full;
+  } else if (aField.mLimitedFor) {
+    out.mClearsIn = std::max(kLeastClear, *aField.mLimitedFor);
+    out.mRefusal = PlacementRefusal::Limited;
   } else {
     out.mClearsIn = kLeastClear;
+    out.mRefusal =
+      aField.mAny ? PlacementRefusal::Full : PlacementRefusal::NoTarget;
   }
-  out.mRefusal =
-    aField.mAny ? PlacementRefusal::Full : PlacementRefusal::NoTarget;
   return out;
 }
 
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -33,6 +33,12 @@
   return aEntry.mRecord.mRegion == aRoster.mSelf.mRegion;
 }
 
+/// Before entries are chosen to serve, all do.
+bool IsServing(const Roster& aRoster, const std::string& aName)
+{
+  return aRoster.mServing.empty() || aRoster.mServing.count(aName) > 0;
+}
+
 } // namespace
 
 void TakeRecord(Roster& aRoster, const EntryRecord& aRecord, TimePoint aNow)
@@ -235,11 +241,8 @@
 std::vector<EntryRecord> ServingPeers(const Roster& aRoster, TimePoint aNow)
 {
   auto out = LivePeers(aRoster, aNow);
-  if (!aRoster.mServing.empty()) {
-    std::erase_if(out, [&](const EntryRecord& a) {
-      return aRoster.mServing.count(a.mName) == 0;
-    });
-  }
+  std::erase_if(
+    out, [&](const EntryRecord& a) { return !IsServing(aRoster, a.mName); });
   return out;
 }
 
@@ -256,6 +259,27 @@
   return std::max(aRoster.mMostSeen, aRoster.mOthers.size() + 1);
 }
 
+LimitShare ShareOf(const Roster& aRoster, const std::string& aRegion,
+                   std::uint64_t aTarget, std::size_t aMost, TimePoint aNow)
+{
+  const auto& self = aRoster.mSelf.mName;
+  const bool near = aRegion == aRoster.mSelf.mRegion;
+  const auto own = HashPair(aTarget, Hash(self));
+  bool mayShare = !aRoster.mLeaving && (!near || IsServing(aRoster, self));
+  std::size_t all = 1;
+  std::size_t rank = 0;
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    if (near && !(InOwnRegion(aRoster, entry) && IsServing(aRoster, name) &&
+                  IsLive(aRoster, entry, aNow))) {
+      continue;
+    }
+    mayShare = mayShare && (near || entry.mRecord.mRegion != aRegion);
+    ++all;
+    rank += HashPair(aTarget, Hash(name)) > own ? 1U : 0U;
+  }
+  return { mayShare ? std::min(all, aMost) : 0, rank };
+}
+
 std::vector<EntryRecord> RecordsToRemove(const Roster& aRoster, TimePoint aNow)
 {
   std::vector<EntryRecord> out;
--- a/tests/unit/limit_sharing_test.cpp
+++ b/tests/unit/limit_sharing_test.cpp
@@ -1,4 +1,4 @@
-#include "entry/entry.hpp"
+#include "entry/messages.hpp"
 
 #include "fixtures.hpp"
 #include "scripted_server.hpp"
@@ -194,3 +194,50 @@
   cr_assert_eq(region.Last().mStatus, 503U);
   cr_assert_not(FindHeader(region.Last().mHeaders, "Retry-After").empty());
 }
+
+// Guards against a restart that forgets a limit: the entry hears of it before
+// it has sent the target anything.
+Test(limit_sharing, an_entry_that_starts_hears_of_limits_from_the_others)
+{
+  RegionOfEntries region(2);
+  region.AddTarget("Limit: 0.5\r\n");
+  region.SendAll(1);
+  const auto now = Clock::now();
+  EntryHeartbeat heartbeat;
+  heartbeat.mLimits = TellLimits(region.At(0), now);
+  cr_assert_eq(heartbeat.mLimits->size(), 1U);
+  RegionOfEntries started(1);
+  started.AddTarget("");
+  EntryHeartbeat heard;
+  cr_assert(FromJson(ToJson(heartbeat), heard).empty());
+  HearLimits(started.At(0), *heard.mLimits, now);
+  const auto& limit = started.At(0).mRegistry.mTargets.at("t1")->mLimit;
+  cr_assert_eq(limit.mStatement.mPerSecond, 0.5);
+  cr_assert_eq(limit.mShare.mSharing, 1U);
+  // What it heard from others it does not tell on.
+  cr_assert(TellLimits(started.At(0), now).empty());
+}
+
+// Guards against a limit that outlives the target's life that named it.
+Test(limit_sharing, a_target_that_starts_again_has_no_limit)
+{
+  RegionOfEntries region(1);
+  region.AddTarget("Limit: 0.5\r\n");
+  region.SendAll(1);
+  auto& registry = region.At(0).mRegistry;
+  auto again = registry.mTargets.at("t1")->mRegistration;
+  const auto old = TellLimits(region.At(0), Clock::now());
+  again.mStarted = 77;
+  TakeRegistration(registry, again, Clock::now());
+  cr_assert_not(
+    registry.mTargets.at("t1")->mLimit.mStatement.mPerSecond.has_value());
+  HearLimits(region.At(0), old, Clock::now());
+  cr_assert_not(
+    registry.mTargets.at("t1")->mLimit.mStatement.mPerSecond.has_value());
+}
+
+Test(limit_sharing, heartbeats_without_limits_are_as_they_were_before)
+{
+  const auto text = ToJson(EntryHeartbeat{});
+  cr_assert_eq(text.find("limits"), std::string::npos, "%s", text.c_str());
+}
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -376,3 +376,32 @@
   cr_assert_geq(over.mInTime, 20 * 315 * 0.5, "%d of %d in time", over.mInTime,
                 over.mAsked);
 }
+
+Test(placement, a_target_at_its_rate_limit_leaves_requests_to_the_next_owner)
+{
+  Scene scene(10, 0);
+  const auto owner = scene.Choose(Key(1), kNow).mTarget;
+  TakeAnswer(owner->mLimit, 1.0, kNow, kNow);
+  const auto next = scene.Choose(Key(1), kNow);
+  cr_assert_neq(next.mTarget, owner);
+  cr_assert_eq(next.mRefusal, PlacementRefusal::None);
+  SetShare(owner->mLimit, { 1, 0 }, kNow);
+  cr_assert_eq(scene.Choose(Key(1), kNow).mTarget, owner);
+}
+
+Test(placement, where_all_targets_are_at_their_limits_the_refusal_tells_when)
+{
+  Scene scene(2, 0);
+  for (const auto& [id, target] : scene.mRegistry.mTargets) {
+    TakeAnswer(target->mLimit, 0.5, kNow, kNow);
+    SetShare(target->mLimit, { 1, 0 }, kNow);
+    for (int n = 0; n < 10; ++n) {
+      NoteSend(target->mLimit, kNow);
+    }
+  }
+  const auto choice = scene.Choose(Key(1), kNow);
+  cr_assert_eq(choice.mRefusal, PlacementRefusal::Limited);
+  cr_assert_eq(choice.mClearsIn, 2'000ms);
+  cr_assert_eq(scene.Choose(Key(1), kNow + 2s).mRefusal,
+               PlacementRefusal::None);
+}
