Let a target with a rate limit own no objects while it lasts

Cause: a target with a limit still was the first owner of its objects, for one request in four or five; the others went to the next owner. Both met each object too seldom to keep it warm, and cold runs take three times as long.

Change: while a limit holds, its target keeps the objects that it has warm and is weighed as one more choice beside the owners, so that it helps where their queues cost more than a cold run.

--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -147,7 +147,8 @@
   Owners<1> mCold; ///< Used where there is no other.
   /// When the first target takes one more that now takes none by its limit.
   std::optional<Millis> mLimitedFor;
-  std::vector<LiveTarget*> mWarm; ///< Known to be, and no owners above.
+  /// Besides the owners: targets known to be warm, and one with a rate limit.
+  std::vector<LiveTarget*> mOthers;
   bool mAny = false;
 };
 
@@ -155,6 +156,9 @@
                  const std::vector<TargetPtr>& aTargets, TimePoint aNow)
 {
   Field out;
+  // A target with a rate limit owns no objects: both it and the next owner
+  // would meet each too seldom to keep it warm.
+  Owners<1> limitedOwner;
   for (const auto& it : aTargets) {
     if (!MayServe(aView.mRegistry, *it, aNow) ||
         !IsAllowed(aRequest.mRoute, it->mRegion) ||
@@ -180,14 +184,19 @@
       continue;
     }
     if (IsWarm(aView.mWarm, WarmId(aRequest.mKey, it->mLife), aNow)) {
-      out.mWarm.push_back(it.get());
+      out.mOthers.push_back(it.get());
     }
-    if (it->mRegion == aView.mTrips.mOwnRegion) {
-      out.mNear.Offer(candidate);
-    } else {
+    if (it->mRegion != aView.mTrips.mOwnRegion) {
       out.mFar.Offer(candidate);
+    } else if (it->mLimit.mStatement.mPerSecond) {
+      limitedOwner.Offer(candidate);
+    } else {
+      out.mNear.Offer(candidate);
     }
   }
+  if (auto* target = limitedOwner.mBest[0].mTarget) {
+    out.mOthers.push_back(target);
+  }
   return out;
 }
 
@@ -212,7 +221,7 @@
 /// @param aFar  the owners are of other regions
 template<std::size_t N>
 Best BestOf(const PlacementView& aView, const PlacementRequest& aRequest,
-            const Owners<N>& aOwners, const std::vector<LiveTarget*>& aWarm,
+            const Owners<N>& aOwners, const std::vector<LiveTarget*>& aOthers,
             bool aFar, TimePoint aNow)
 {
   Best out;
@@ -226,7 +235,7 @@
       consider(*aOwners.mBest[n].mTarget, n == 0);
     }
   }
-  for (auto* it : aWarm) {
+  for (auto* it : aOthers) {
     if ((it->mRegion != aView.mTrips.mOwnRegion) == aFar) {
       consider(*it, false);
     }
@@ -310,8 +319,9 @@
   }
   const auto field = FindOwners(aView, aRequest, list->second, aNow);
   const auto near =
-    BestOf(aView, aRequest, field.mNear, field.mWarm, false, aNow);
-  const auto far = BestOf(aView, aRequest, field.mFar, field.mWarm, true, aNow);
+    BestOf(aView, aRequest, field.mNear, field.mOthers, false, aNow);
+  const auto far =
+    BestOf(aView, aRequest, field.mFar, field.mOthers, true, aNow);
   auto weighed = Weigh(near, far, aView.mLeeway);
   auto& best = weighed.mBest;
   if (!near.mShortest && !far.mShortest) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -289,20 +289,28 @@
 /// Picks a target, or none.
 using Policy = std::function<LiveTarget*(Scene&, std::uint64_t, TimePoint)>;
 
+/// What callers ask for, and what changes on the way.
+struct Demand
+{
+  double mPerSecond = 0;
+  std::uint64_t mObjects = 0;
+  std::function<void(Scene&, TimePoint)> mChange; ///< After 8 s.
+};
+
 /// Offers a load of one class to targets that keep the last objects warm.
-Tally Offer(Scene& aScene, const Policy& aPolicy, double aPerSecond)
+Tally Offer(Scene& aScene, const Policy& aPolicy, const Demand& aDemand)
 {
   constexpr Millis kWarmRun{ 190 };
   constexpr Millis kColdRun{ 640 };
   constexpr Millis kGoal{ 500 };
-  constexpr std::uint64_t kObjects = 150;
   std::mt19937_64 random(42);
-  std::exponential_distribution<double> gap(aPerSecond / 1000);
+  std::exponential_distribution<double> gap(aDemand.mPerSecond / 1000);
   std::priority_queue<Run> running;
   std::map<std::pair<LiveTarget*, std::uint64_t>, TimePoint> warm;
   std::map<LiveTarget*, std::vector<TimePoint>> slots;
   Tally out;
   double atMs = 0;
+  bool changed = false;
   while (atMs < 20'000) {
     atMs += gap(random);
     const auto now = kNow + Millis(static_cast<std::int64_t>(atMs));
@@ -310,13 +318,18 @@
       --running.top().mTarget->mLoad.mOwn;
       running.pop();
     }
-    const auto object = random() % kObjects;
+    if (now >= kNow + 8s && aDemand.mChange && !changed) {
+      aDemand.mChange(aScene, now);
+      changed = true;
+    }
+    const auto object = random() % aDemand.mObjects;
     const auto key = Hash(std::to_string(object));
     ++out.mAsked;
     auto* target = aPolicy(aScene, key, now);
     if (target == nullptr) {
       continue;
     }
+    NoteSend(target->mLimit, now);
     auto& free = slots[target];
     free.resize(target->mRegistration.mSlots, kNow);
     auto& slot = *std::min_element(free.begin(), free.end());
@@ -360,8 +373,8 @@
   constexpr double kPerSecond = 180;
   Scene even(10, 0);
   Scene held(10, 0);
-  const auto spread = Offer(even, LeastLoaded, kPerSecond);
-  const auto kept = Offer(held, Affinity, kPerSecond);
+  const auto spread = Offer(even, LeastLoaded, { kPerSecond, 150, {} });
+  const auto kept = Offer(held, Affinity, { kPerSecond, 150, {} });
   cr_assert_geq(kept.mInTime, kept.mAsked * 0.7, "%d of %d in time",
                 kept.mInTime, kept.mAsked);
   cr_assert_geq(kept.mInTime, 2 * spread.mInTime, "%d against %d", kept.mInTime,
@@ -372,7 +385,7 @@
 Test(placement, under_overload_most_of_what_is_taken_ends_in_time)
 {
   Scene scene(10, 0);
-  const auto over = Offer(scene, Affinity, 450);
+  const auto over = Offer(scene, Affinity, { 450, 150, {} });
   cr_assert_geq(over.mInTime, 20 * 315 * 0.5, "%d of %d in time", over.mInTime,
                 over.mAsked);
 }
@@ -385,6 +398,9 @@
   const auto next = scene.Choose(Key(1), kNow);
   cr_assert_neq(next.mTarget, owner);
   cr_assert_eq(next.mRefusal, PlacementRefusal::None);
+  // It keeps the objects that it has warm, as far as its limit goes.
+  NoteServed(scene.mWarm, WarmId(Key(1), owner->mLife), kNow);
+  cr_assert_neq(scene.Choose(Key(1), kNow).mTarget, owner);
   SetShare(owner->mLimit, { 1, 0 }, kNow);
   cr_assert_eq(scene.Choose(Key(1), kNow).mTarget, owner);
 }
@@ -405,3 +421,38 @@
   cr_assert_eq(scene.Choose(Key(1), kNow + 2s).mRefusal,
                PlacementRefusal::None);
 }
+
+// Pattern: partial loss of capacity. A target that still takes some requests is
+// worth more than one that is gone.
+Test(placement, targets_that_name_limits_serve_more_than_if_they_were_gone)
+{
+  const auto eachSecondTarget =
+    [](const std::function<void(LiveTarget&, TimePoint)>& aDo) {
+      return [aDo](Scene& aScene, TimePoint aNow) {
+        int n = 0;
+        for (const auto& [id, target] : aScene.mRegistry.mTargets) {
+          if (n++ % 2 == 0) {
+            aDo(*target, aNow);
+          }
+        }
+      };
+    };
+  const auto limit = eachSecondTarget([](LiveTarget& a, TimePoint aNow) {
+    TakeAnswer(a.mLimit, 2.2, aNow, aNow);
+    SetShare(a.mLimit, { 1, 0 }, aNow);
+  });
+  const auto leave =
+    eachSecondTarget([](LiveTarget& a, TimePoint) { a.mLeft = true; });
+  for (const double perSecond : { 200.0, 320.0, 400.0 }) {
+    for (const std::uint64_t objects : { 150U, 600U, 1500U }) {
+      Scene limited(34, 0);
+      Scene gone(34, 0);
+      const auto with = Offer(limited, Affinity, { perSecond, objects, limit });
+      const auto without = Offer(gone, Affinity, { perSecond, objects, leave });
+      cr_assert_geq(with.mInTime, without.mInTime,
+                    "%.0f a second, %d objects: %d against %d of %d", perSecond,
+                    static_cast<int>(objects), with.mInTime, without.mInTime,
+                    with.mAsked);
+    }
+  }
+}
