--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -47,7 +47,7 @@
   std::size_t mRegionEntries = 1; ///< Those of the own region.
   /// The view of the targets is old: any of them may have become cold.
   bool mUnseen = false;
-  RegionLeeway mLeeway;
+  ShiftBound mShiftBound;
 };
 
 /// Why there is no target.
@@ -56,7 +56,8 @@
   NoTarget, ///< None may serve it.
   Full,     ///< All that should serve it have long queues.
   Limited,  ///< Those that should serve it take no more for a while.
-  Bound,    ///< There is room, but only beyond the leeway between regions.
+  Bound,    ///< There is room, but only beyond the bound on shifts between
+            ///< regions.
   TooLate,  ///< It would not end before its deadline.
 };
 
@@ -66,12 +67,12 @@
   PlacementRefusal mRefusal = PlacementRefusal::None;
   Warmth mWarmth = Warmth::Unlikely;
   Millis mRoundTrip{ 0 };
-  Millis mWait{ 0 };     ///< Expected in the target's queue.
-  Millis mRun{ 0 };      ///< Expected without waiting.
-  bool mFar = false;     ///< In another region than the entry.
-  bool mWishFar = false; ///< Would be, if no leeway bound it.
-  bool mStrict = false;  ///< The leeway was strict.
-  Millis mClearsIn{ 0 }; ///< When refused: when there should be room.
+  Millis mWait{ 0 };        ///< Expected in the target's queue.
+  Millis mRun{ 0 };         ///< Expected without waiting.
+  bool mFar = false;        ///< In another region than the entry.
+  bool mPrefersFar = false; ///< Would be, without the bound on shifts.
+  bool mStrict = false;     ///< The bound on shifts was strict.
+  Millis mClearsIn{ 0 };    ///< When refused: when there should be room.
 };
 
 /// Chooses a target.
--- a/include/guavaline/placement/rate_limit.hpp
+++ b/include/guavaline/placement/rate_limit.hpp
@@ -18,8 +18,8 @@
 {
   /// From all entries together; nothing where it takes all that come.
   std::optional<double> mPerSecond;
-  TimePoint mStated{};    ///< When it said so, to this entry or another.
-  bool mAnswered = false; ///< It said so to this entry.
+  TimePoint mStated{};     ///< When it said so, to this entry or another.
+  bool mFirstHand = false; ///< It said so to this entry.
 };
 
 /// How entries share a target's limit. All agree on an order of the entries;
@@ -62,11 +62,12 @@
 
 /// @returns true where other entries are to be told what the target last said
 ///          to this one: a limit while it holds, and for a while that it ended
-[[nodiscard]] bool IsToBeTold(const RateLimit& aLimit, TimePoint aNow) noexcept;
+[[nodiscard]] bool ShouldAnnounce(const RateLimit& aLimit,
+                                  TimePoint aNow) noexcept;
 
 /// @returns how many entries may share a limit, so that all their tokens
 ///          together stay a small burst
-[[nodiscard]] std::size_t MostSharing(double aPerSecond) noexcept;
+[[nodiscard]] std::size_t MaxSharing(double aPerSecond) noexcept;
 
 /// Sets this entry's part of the limit.
 void SetShare(RateLimit& aLimit, const LimitShare& aShare,
--- a/include/guavaline/placement/region_share.hpp
+++ b/include/guavaline/placement/region_share.hpp
@@ -2,8 +2,8 @@
 
 /// Bounds how fast an entry moves its requests between regions, so that the
 /// links and caches of a region never meet a sudden shift. The share that
-/// leaves the entry's own region follows the wish of placement slowly, and a
-/// token bucket holds the requests to it.
+/// leaves the entry's own region follows the preference of placement slowly,
+/// and a token bucket holds the requests to it.
 
 #include <guavaline/core/time.hpp>
 
@@ -15,14 +15,14 @@
   /// How long after a disturbance requests leave a region without room at once.
   Millis mUnrest{ 4'000 };
   double mFar = 0;       ///< Share that may run in other regions.
-  double mWish = 0;      ///< Share that would if nothing bound it.
+  double mPreferred = 0; ///< Share that would if nothing bound it.
   double mTokens = 0;    ///< Requests that the share is ahead of its use.
   double mPerWindow = 0; ///< Requests in one window, averaged.
   TimePoint mUpdated{};  ///< When the last request was sent.
 };
 
 /// Which way a request may go.
-struct RegionLeeway
+struct ShiftBound
 {
   bool mMayStay = true;
   bool mMayLeave = true;
@@ -33,24 +33,25 @@
 /// Sets the share that is expected before anything was sent.
 void ExpectFarShare(RegionShare& aShare, double aFar) noexcept;
 
-/// Notes a request that is sent. While the leeway is not strict the share
-/// follows where requests go, so that it binds from there once it is.
-/// @param aWishFar  it would go to another region if nothing bound it
+/// Notes a request that is sent. While the bound on shifts is not strict the
+/// share follows where requests go, so that it binds from there once it is.
+/// @param aPrefersFar  it would go to another region if nothing bound it
 /// @param aFar      it goes to another region
-/// @param aStrict   the leeway was strict when it was placed
-void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar, bool aStrict,
+/// @param aStrict   the bound on shifts was strict when it was placed
+void NoteRegion(RegionShare& aShare, bool aPrefersFar, bool aFar, bool aStrict,
                 TimePoint aNow) noexcept;
 
-/// Notes a request that is refused because of the leeway: it counts for where
-/// requests would go, and moves the share.
-void NoteRefused(RegionShare& aShare, bool aWishFar, TimePoint aNow) noexcept;
+/// Notes a request that is refused because of the bound on shifts: it counts
+/// for where requests would go, and moves the share.
+void NoteRefused(RegionShare& aShare, bool aPrefersFar,
+                 TimePoint aNow) noexcept;
 
 /// @returns where the next request may go
 /// @param aDisturbed  when a target, connection, entry or the store was last
 ///                    seen to change or fail
-[[nodiscard]] RegionLeeway LeewayOf(const RegionShare& aShare,
-                                    TimePoint aDisturbed,
-                                    TimePoint aNow) noexcept;
+[[nodiscard]] ShiftBound ShiftBoundOf(const RegionShare& aShare,
+                                      TimePoint aDisturbed,
+                                      TimePoint aNow) noexcept;
 
 /// @returns the far share that evens out the slots of a region and its
 ///          callers, who are taken to be spread evenly over failure domains
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -1,6 +1,6 @@
 /// Answers of the entry's own, and the record of each request.
 
-#include "entry/passage.hpp"
+#include "entry/request_state.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -17,7 +17,7 @@
 
 } // namespace
 
-HttpResponse Reject(const Entry& aEntry, const Passage& aPassage,
+HttpResponse Reject(const Entry& aEntry, const RequestState& aState,
                     Millis aRetryAfter, const char* aReason)
 {
   HttpResponse out;
@@ -27,58 +27,58 @@
                 static_cast<double>(aRetryAfter.count()) / kMsPerSecond);
   out.mHeaders = { { "Retry-After", buf.data() },
                    { "Content-Type", "text/plain" },
-                   { aEntry.mPlatform.mHeaders.mRequestId, aPassage.mId } };
+                   { aEntry.mPlatform.mHeaders.mRequestId, aState.mId } };
   out.mBody = std::string("not run: ") + aReason + "\n";
   return out;
 }
 
-HttpResponse Fail(const Entry& aEntry, const Passage& aPassage,
+HttpResponse Fail(const Entry& aEntry, const RequestState& aState,
                   unsigned aStatus, const char* aReason)
 {
   HttpResponse out;
   out.mStatus = aStatus;
   out.mHeaders = { { "Content-Type", "text/plain" },
-                   { aEntry.mPlatform.mHeaders.mRequestId, aPassage.mId } };
+                   { aEntry.mPlatform.mHeaders.mRequestId, aState.mId } };
   out.mBody = std::string(aReason) + "\n";
   return out;
 }
 
-void NoteEnd(Entry& aEntry, const Passage& aPassage, unsigned aStatus,
+void NoteEnd(Entry& aEntry, const RequestState& aState, unsigned aStatus,
              const char* aReason, TimePoint aNow)
 {
-  const auto took = aNow - aPassage.mArrived;
+  const auto took = aNow - aState.mArrived;
   aEntry.mMetrics.NoteLatency(
-    aPassage.mService, aPassage.mRoute.mName,
+    aState.mService, aState.mRoute.mName,
     std::chrono::duration_cast<std::chrono::microseconds>(took));
-  aEntry.mMetrics.Count("requests", "route=\"" + aPassage.mRoute.mName +
+  aEntry.mMetrics.Count("requests", "route=\"" + aState.mRoute.mName +
                                       "\",reason=\"" + aReason + "\"");
-  NoteSplitEnd(aEntry, aPassage);
+  NoteSplitEnd(aEntry, aState);
   const auto& view = aEntry.mFollows[ObjectKind::Targets].mView;
   const auto viewAge = std::chrono::duration_cast<Millis>(
-    aNow - std::max(view.mConfirmed, aPassage.mArrived - kMostAge));
+    aNow - std::max(view.mConfirmed, aState.mArrived - kMostAge));
   const bool good = aStatus < 400;
-  const auto& choice = aPassage.mChoice;
+  const auto& choice = aState.mChoice;
   const std::string target =
     choice.mTarget ? choice.mTarget->mRegistration.mId : "";
   LogBounded(
     good ? LogClass::Routine : LogClass::Failure, LogLevel::Info,
     "request_ended",
-    { { "request", aPassage.mId },
-      { "route", aPassage.mRoute.mName },
-      { "service", aPassage.mService },
+    { { "request", aState.mId },
+      { "route", aState.mRoute.mName },
+      { "service", aState.mService },
       { "status", std::to_string(aStatus) },
       { "reason", aReason },
-      { "object", HexId(aPassage.mKey) },
+      { "object", HexId(aState.mKey) },
       { "target", target },
-      { "sends", std::to_string(aPassage.mSends) },
-      { "returning", aPassage.mReturning ? "yes" : "no" },
+      { "sends", std::to_string(aState.mSends) },
+      { "returning", aState.mReturning ? "yes" : "no" },
       { "warmth", std::to_string(static_cast<int>(choice.mWarmth)) },
       { "wait_ms", MillisText(choice.mWait) },
       { "run_ms", MillisText(choice.mRun) },
       { "took_ms", MillisText(std::chrono::duration_cast<Millis>(took)) },
       { "left_ms", MillisText(std::chrono::duration_cast<Millis>(
-                     aPassage.mDeadline - aNow)) },
-      { "configuration", std::to_string(aPassage.mVersion) },
+                     aState.mDeadline - aNow)) },
+      { "configuration", std::to_string(aState.mVersion) },
       { "view_revision", std::to_string(view.mRevision) },
       { "view_age_ms", MillisText(viewAge) } });
 }
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -1,6 +1,6 @@
 /// The path of a caller's request: route, targets, answer.
 
-#include "entry/passage.hpp"
+#include "entry/request_state.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -57,24 +57,24 @@
   return { rate, bounds.mColdOver, bounds.mColdSlack };
 }
 
-void Choose(Entry& aEntry, Passage& aPassage, TimePoint aNow)
+void Choose(Entry& aEntry, RequestState& aState, TimePoint aNow)
 {
   const PlacementView view{
     aEntry.mRegistry,
     aEntry.mTrips,
     aEntry.mWarm,
-    aEntry.mRoutes[aPassage.mRoute.mName].mRunTimes[aPassage.mService],
-    ColdBoundOf(aEntry, aPassage.mService),
+    aEntry.mRoutes[aState.mRoute.mName].mRunTimes[aState.mService],
+    ColdBoundOf(aEntry, aState.mService),
     SharingEntries(aEntry.mRoster),
     CountSending(aEntry.mRoster, aNow),
     IsUnseen(aEntry, aNow),
-    LeewayOf(aEntry.mRegionShare,
-             std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow)
+    ShiftBoundOf(aEntry.mRegionShare,
+                 std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow)
   };
-  const PlacementRequest request{ aPassage.mRoute, aPassage.mService,
-                                  aPassage.mKey,   aPassage.mDeadline,
-                                  aPassage.mTried, aPassage.mReturning };
-  aPassage.mChoice = ChooseOwner(view, request, aNow);
+  const PlacementRequest request{ aState.mRoute, aState.mService,
+                                  aState.mKey,   aState.mDeadline,
+                                  aState.mTried, aState.mReturning };
+  aState.mChoice = ChooseOwner(view, request, aNow);
 }
 
 const char* NameOf(PlacementRefusal aRefusal)
@@ -103,69 +103,68 @@
   const char* mReason = "";
 };
 
-LastWord GiveUp(Entry& aEntry, const Passage& aPassage, SendOutcome aLast,
+LastWord GiveUp(Entry& aEntry, const RequestState& aState, SendOutcome aLast,
                 TimePoint aNow)
 {
   if (aLast.mAnswer) {
     return { std::move(*aLast.mAnswer), aLast.mWhat };
   }
-  if (aPassage.mRuns == 0) {
-    const auto after = std::max(aPassage.mChoice.mClearsIn, Millis(100));
-    return { Reject(aEntry, aPassage, after, aLast.mWhat), aLast.mWhat };
+  if (aState.mRuns == 0) {
+    const auto after = std::max(aState.mChoice.mClearsIn, Millis(100));
+    return { Reject(aEntry, aState, after, aLast.mWhat), aLast.mWhat };
   }
-  if (aNow >= aPassage.mDeadline) {
-    return { Fail(aEntry, aPassage, 504, "no answer in time"), "timeout" };
+  if (aNow >= aState.mDeadline) {
+    return { Fail(aEntry, aState, 504, "no answer in time"), "timeout" };
   }
-  return { Fail(aEntry, aPassage, 502, "target gave no whole answer"),
+  return { Fail(aEntry, aState, 502, "target gave no whole answer"),
            aLast.mWhat };
 }
 
-bool MayRetry(Entry& aEntry, const Passage& aPassage, const SendOutcome& aLast,
-              TimePoint aNow)
+bool MayRetry(Entry& aEntry, const RequestState& aState,
+              const SendOutcome& aLast, TimePoint aNow)
 {
-  if (!aLast.mWorthRetry || aNow >= aPassage.mDeadline ||
-      aPassage.mSends >= kMostSends) {
+  if (!aLast.mWorthRetry || aNow >= aState.mDeadline ||
+      aState.mSends >= kMostSends) {
     return false;
   }
-  if (!aLast.mNotRun && (aPassage.mRoute.mKind != RequestKind::Idempotent ||
-                         aPassage.mRuns >= aPassage.mRoute.mMostTargets)) {
+  if (!aLast.mNotRun && (aState.mRoute.mKind != RequestKind::Idempotent ||
+                         aState.mRuns >= aState.mRoute.mMostTargets)) {
     return false;
   }
-  return !IsCrasher(aEntry.mCrashers, aPassage.mDigest, aNow);
+  return !IsCrasher(aEntry.mCrashers, aState.mDigest, aNow);
 }
 
-asio::awaitable<LastWord> SendToTargets(Entry& aEntry, Passage& aPassage)
+asio::awaitable<LastWord> SendToTargets(Entry& aEntry, RequestState& aState)
 {
-  NoteRequest(RetriesOf(aEntry, aPassage.mService));
+  NoteRequest(RetriesOf(aEntry, aState.mService));
   SendOutcome last;
   while (true) {
     const auto now = Clock::now();
-    Choose(aEntry, aPassage, now);
-    const auto refusal = aPassage.mChoice.mRefusal;
+    Choose(aEntry, aState, now);
+    const auto refusal = aState.mChoice.mRefusal;
     if (refusal == PlacementRefusal::Bound) {
-      NoteRefused(aEntry.mRegionShare, aPassage.mChoice.mWishFar, now);
+      NoteRefused(aEntry.mRegionShare, aState.mChoice.mPrefersFar, now);
     }
     if (refusal != PlacementRefusal::None) {
-      if (aPassage.mSends > 0) {
-        co_return GiveUp(aEntry, aPassage, std::move(last), now);
+      if (aState.mSends > 0) {
+        co_return GiveUp(aEntry, aState, std::move(last), now);
       }
-      LastWord out{ Reject(aEntry, aPassage, aPassage.mChoice.mClearsIn,
+      LastWord out{ Reject(aEntry, aState, aState.mChoice.mClearsIn,
                            NameOf(refusal)),
                     NameOf(refusal) };
       co_return out;
     }
-    if (aPassage.mSends > 0 &&
-        !TakeRetry(RetriesOf(aEntry, aPassage.mService))) {
-      co_return GiveUp(aEntry, aPassage, std::move(last), now);
+    if (aState.mSends > 0 && !TakeRetry(RetriesOf(aEntry, aState.mService))) {
+      co_return GiveUp(aEntry, aState, std::move(last), now);
     }
-    last = co_await SendOnce(aEntry, aPassage);
+    last = co_await SendOnce(aEntry, aState);
     if (last.mAnswer && !last.mWorthRetry) {
       LastWord out{ std::move(*last.mAnswer), last.mWhat };
       co_return out;
     }
-    aPassage.mTried.insert(aPassage.mChoice.mTarget->mRegistration.mId);
-    if (!MayRetry(aEntry, aPassage, last, Clock::now())) {
-      co_return GiveUp(aEntry, aPassage, std::move(last), Clock::now());
+    aState.mTried.insert(aState.mChoice.mTarget->mRegistration.mId);
+    if (!MayRetry(aEntry, aState, last, Clock::now())) {
+      co_return GiveUp(aEntry, aState, std::move(last), Clock::now());
     }
   }
 }
@@ -194,15 +193,14 @@
   return host.substr(0, host.find(':'));
 }
 
-void SetKeys(Entry& aEntry, Passage& aPassage)
+void SetKeys(Entry& aEntry, RequestState& aState)
 {
-  const auto object = aEntry.mPlatform.mObjectOf(aPassage.mRequest);
-  aPassage.mKey = object.empty()
-                    ? aEntry.mRandom()
-                    : Hash(object, Hash(aPassage.mRoute.mPathPrefix));
-  aPassage.mDigest = HashPair(
-    Hash(aPassage.mRequest.mMethod + " " + aPassage.mRequest.mTarget, 1),
-    HashPair(Hash(object), Hash(aPassage.mRequest.mBody)));
+  const auto object = aEntry.mPlatform.mObjectOf(aState.mRequest);
+  aState.mKey = object.empty() ? aEntry.mRandom()
+                               : Hash(object, Hash(aState.mRoute.mPathPrefix));
+  aState.mDigest =
+    HashPair(Hash(aState.mRequest.mMethod + " " + aState.mRequest.mTarget, 1),
+             HashPair(Hash(object), Hash(aState.mRequest.mBody)));
 }
 
 } // namespace
@@ -219,50 +217,49 @@
 asio::awaitable<HttpResponse> ForwardRequest(Entry& aEntry,
                                              HttpRequest aRequest)
 {
-  Passage passage;
+  RequestState state;
   const auto now = Clock::now();
   ++aEntry.mTaken;
-  passage.mArrived = aRequest.mArrived;
-  passage.mId =
+  state.mArrived = aRequest.mArrived;
+  state.mId =
     FindHeader(aRequest.mHeaders, aEntry.mPlatform.mHeaders.mRequestId);
-  passage.mVersion = aEntry.mRouting.mVersion;
-  passage.mRequest = std::move(aRequest);
+  state.mVersion = aEntry.mRouting.mVersion;
+  state.mRequest = std::move(aRequest);
   const auto finish = [&](HttpResponse aResponse, const char* aReason) {
-    NoteEnd(aEntry, passage, aResponse.mStatus, aReason, Clock::now());
+    NoteEnd(aEntry, state, aResponse.mStatus, aReason, Clock::now());
     return aResponse;
   };
   if (!IsReady(aEntry)) {
-    co_return finish(Reject(aEntry, passage, kRetryAfterUnready, "not_ready"),
+    co_return finish(Reject(aEntry, state, kRetryAfterUnready, "not_ready"),
                      "not_ready");
   }
-  const auto* route = MatchRoute(aEntry.mRouting, HostOf(passage.mRequest),
-                                 PathOf(passage.mRequest.mTarget));
+  const auto* route = MatchRoute(aEntry.mRouting, HostOf(state.mRequest),
+                                 PathOf(state.mRequest.mTarget));
   if (route == nullptr) {
-    co_return finish(Fail(aEntry, passage, 404, "no such route"), "no_route");
+    co_return finish(Fail(aEntry, state, 404, "no such route"), "no_route");
   }
-  passage.mRoute = *route;
-  auto limit = TimeLeft(aEntry.mPlatform.mHeaders, passage.mRequest);
-  passage.mReturning = IsReturning(aEntry, *route, limit);
+  state.mRoute = *route;
+  auto limit = TimeLeft(aEntry.mPlatform.mHeaders, state.mRequest);
+  state.mReturning = IsReturning(aEntry, *route, limit);
   if (route->mTimeout.count() > 0) {
     limit = std::min(limit, route->mTimeout);
   }
-  passage.mDeadline = passage.mArrived + limit;
+  state.mDeadline = state.mArrived + limit;
   const auto& stopping = aEntry.mStopping;
   if (stopping &&
       now - *stopping > aEntry.mSettings.mBounds.mStopTime / kStopPart) {
-    co_return finish(Reject(aEntry, passage, Millis(0), "stopping"),
-                     "stopping");
+    co_return finish(Reject(aEntry, state, Millis(0), "stopping"), "stopping");
   }
-  SetKeys(aEntry, passage);
-  if (IsCrasher(aEntry.mCrashers, passage.mDigest, now)) {
-    co_return finish(Reject(aEntry, passage, kRetryAfterUnready, "crashes"),
+  SetKeys(aEntry, state);
+  if (IsCrasher(aEntry.mCrashers, state.mDigest, now)) {
+    co_return finish(Reject(aEntry, state, kRetryAfterUnready, "crashes"),
                      "crashes_targets");
   }
-  passage.mService = PickService(
-    passage.mRoute, passage.mKey, aEntry.mRoutes[passage.mRoute.mName].mSplit,
+  state.mService = PickService(
+    state.mRoute, state.mKey, aEntry.mRoutes[state.mRoute.mName].mSplit,
     SharingEntries(aEntry.mRoster), aEntry.mRandom());
-  NotePicked(aEntry, passage);
-  auto last = co_await SendToTargets(aEntry, passage);
+  NotePicked(aEntry, state);
+  auto last = co_await SendToTargets(aEntry, state);
   co_return finish(std::move(last.mResponse), last.mReason);
 }
 
--- a/src/entry/rate_limits.cpp
+++ b/src/entry/rate_limits.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// Bounds the bytes of a heartbeat.
-constexpr std::size_t kMostTold = 16;
+constexpr std::size_t kMaxLimitNews = 16;
 
 std::string RateText(const std::optional<double>& aPerSecond)
 {
@@ -45,7 +45,7 @@
   if (limit) {
     SetShare(aTarget.mLimit,
              ShareOf(aEntry.mRoster, aTarget.mRegion, aTarget.mHash,
-                     MostSharing(*limit), aNow),
+                     MaxSharing(*limit), aNow),
              aNow);
   }
 }
@@ -97,14 +97,14 @@
 {
   std::vector<LimitNews> out;
   for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
-    if (IsToBeTold(target->mLimit, aNow)) {
+    if (ShouldAnnounce(target->mLimit, aNow)) {
       out.push_back(NewsOf(*target, aNow));
     }
   }
   std::sort(out.begin(), out.end(), [](const LimitNews& a, const LimitNews& b) {
     return a.mAge < b.mAge;
   });
-  out.resize(std::min(out.size(), kMostTold));
+  out.resize(std::min(out.size(), kMaxLimitNews));
   return out;
 }
 
--- a/src/entry/passage.hpp
+++ b/src/entry/request_state.hpp
@@ -10,7 +10,7 @@
 namespace guavaline::detail {
 
 /// One caller's request on its way.
-struct Passage
+struct RequestState
 {
   HttpRequest mRequest;
   Route mRoute; ///< As it stood when the request came.
@@ -38,19 +38,21 @@
 };
 
 /// @returns a refusal that promises that the request has not run
-[[nodiscard]] HttpResponse Reject(const Entry& aEntry, const Passage& aPassage,
+[[nodiscard]] HttpResponse Reject(const Entry& aEntry,
+                                  const RequestState& aState,
                                   Millis aRetryAfter, const char* aReason);
 
 /// @returns an answer of the entry's own that promises nothing
-[[nodiscard]] HttpResponse Fail(const Entry& aEntry, const Passage& aPassage,
+[[nodiscard]] HttpResponse Fail(const Entry& aEntry, const RequestState& aState,
                                 unsigned aStatus, const char* aReason);
 
 /// Writes the line of a request that ends, and its share of the metrics.
-void NoteEnd(Entry& aEntry, const Passage& aPassage, unsigned aStatus,
+void NoteEnd(Entry& aEntry, const RequestState& aState, unsigned aStatus,
              const char* aReason, TimePoint aNow);
 
 /// Sends the request to the target that was chosen, and learns from how that
 /// goes.
-boost::asio::awaitable<SendOutcome> SendOnce(Entry& aEntry, Passage& aPassage);
+boost::asio::awaitable<SendOutcome> SendOnce(Entry& aEntry,
+                                             RequestState& aState);
 
 } // namespace guavaline::detail
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -1,7 +1,7 @@
 /// One exchange with a target, and what it teaches.
 
-#include "entry/passage.hpp"
 #include "entry/rate_limits.hpp"
+#include "entry/request_state.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -54,21 +54,20 @@
          !SameName(aHeader.mName, aNames.mTargetId);
 }
 
-HttpRequest ForTarget(const Entry& aEntry, const Passage& aPassage,
+HttpRequest ForTarget(const Entry& aEntry, const RequestState& aState,
                       const LiveTarget& aTarget, TimePoint aNow)
 {
   const auto& names = aEntry.mPlatform.mHeaders;
   HttpRequest out;
-  out.mMethod = aPassage.mRequest.mMethod;
-  out.mTarget = aPassage.mRequest.mTarget;
-  out.mBody = aPassage.mRequest.mBody;
-  for (const auto& it : aPassage.mRequest.mHeaders) {
+  out.mMethod = aState.mRequest.mMethod;
+  out.mTarget = aState.mRequest.mTarget;
+  out.mBody = aState.mRequest.mBody;
+  for (const auto& it : aState.mRequest.mHeaders) {
     if (IsForwarded(names, it)) {
       out.mHeaders.push_back(it);
     }
   }
-  const auto left =
-    std::chrono::duration_cast<Millis>(aPassage.mDeadline - aNow);
+  const auto left = std::chrono::duration_cast<Millis>(aState.mDeadline - aNow);
   out.mHeaders.push_back({ names.mTimeLeft, MillisText(left) });
   out.mHeaders.push_back({ names.mTargetId, aTarget.mRegistration.mId });
   return out;
@@ -81,17 +80,17 @@
   return aResponse;
 }
 
-ExchangeOptions OptionsFor(const Entry& aEntry, const Passage& aPassage)
+ExchangeOptions OptionsFor(const Entry& aEntry, const RequestState& aState)
 {
   ExchangeOptions out;
-  out.mDeadline = aPassage.mDeadline;
+  out.mDeadline = aState.mDeadline;
   out.mConnectTimeout = kConnectTimeout;
   out.mUnacknowledged = kUnacknowledged;
-  out.mReuseWithin = aPassage.mRoute.mKind == RequestKind::Idempotent
+  out.mReuseWithin = aState.mRoute.mKind == RequestKind::Idempotent
                        ? kReuseIdempotent
                        : kReuseOnce;
   out.mAnswerIdName = aEntry.mPlatform.mHeaders.mRequestId;
-  out.mAnswerId = aPassage.mId;
+  out.mAnswerId = aState.mId;
   out.mUnframedBody = true;
   return out;
 }
@@ -105,10 +104,10 @@
 }
 
 /// Learns from an answer.
-void LearnAnswer(Entry& aEntry, const Passage& aPassage, LiveTarget& aTarget,
+void LearnAnswer(Entry& aEntry, const RequestState& aState, LiveTarget& aTarget,
                  const HttpResponse& aAnswer, Millis aTook, TimePoint aNow)
 {
-  const auto& choice = aPassage.mChoice;
+  const auto& choice = aState.mChoice;
   const auto load = aEntry.mPlatform.mReadLoad(
     FindHeader(aAnswer.mHeaders, aEntry.mPlatform.mHeaders.mLoad));
   if (load) {
@@ -121,22 +120,22 @@
   }
   const auto inTarget = std::max(Millis(1), aTook - choice.mRoundTrip);
   if (choice.mWait == Millis(0) && Slowness(aTarget.mLoad, aNow) < kSlowRun) {
-    auto& record = aEntry.mRoutes[aPassage.mRoute.mName];
-    NoteRun(record.mRunTimes[aPassage.mService], choice.mWarmth, inTarget);
+    auto& record = aEntry.mRoutes[aState.mRoute.mName];
+    NoteRun(record.mRunTimes[aState.mService], choice.mWarmth, inTarget);
   }
   NoteAnswer(aTarget.mLoad, inTarget, choice.mWait + choice.mRun, aNow);
-  NoteServed(aEntry.mWarm, WarmId(aPassage.mKey, aTarget.mLife), aNow);
-  NoteServed(aEntry.mCrashers, aPassage.mDigest);
+  NoteServed(aEntry.mWarm, WarmId(aState.mKey, aTarget.mLife), aNow);
+  NoteServed(aEntry.mCrashers, aState.mDigest);
 }
 
 /// Tells a target that crashed from one whose answer was lost: the crashed one
 /// takes no connections afterwards. The request that it ran last is suspect.
-void NoteBreak(Entry& aEntry, const Passage& aPassage, LiveTarget& aTarget,
+void NoteBreak(Entry& aEntry, const RequestState& aState, LiveTarget& aTarget,
                const ExchangeResult& aResult, TimePoint aStarted,
                TimePoint aNow)
 {
   if (aResult.mMayHaveReached && !aResult.mTimedOut) {
-    aTarget.mBroken = BrokenRun{ aPassage.mDigest, aStarted, aNow };
+    aTarget.mBroken = BrokenRun{ aState.mDigest, aStarted, aNow };
     return;
   }
   if (!aResult.mConnectFailed || aResult.mTimedOut || !aTarget.mBroken) {
@@ -153,9 +152,9 @@
 }
 
 /// Learns from an exchange that brought no answer.
-void LearnFailure(Entry& aEntry, const Passage& aPassage, LiveTarget& aTarget,
-                  const ExchangeResult& aResult, TimePoint aStarted,
-                  TimePoint aNow)
+void LearnFailure(Entry& aEntry, const RequestState& aState,
+                  LiveTarget& aTarget, const ExchangeResult& aResult,
+                  TimePoint aStarted, TimePoint aNow)
 {
   aEntry.mDisturbed = aNow;
   if (aResult.mConnectFailed) {
@@ -163,9 +162,9 @@
   } else if (!aResult.mTimedOut) {
     NoteFailed(aTarget.mLoad, aNow);
   }
-  NoteBreak(aEntry, aPassage, aTarget, aResult, aStarted, aNow);
+  NoteBreak(aEntry, aState, aTarget, aResult, aStarted, aNow);
   LogBounded(LogClass::Failure, LogLevel::Warning, "exchange_failed",
-             { { "request", aPassage.mId },
+             { { "request", aState.mId },
                { "target", aTarget.mRegistration.mId },
                { "step", aResult.mError.mStep },
                { "peer", aResult.mError.mPeer },
@@ -174,7 +173,7 @@
                { "may_have_run", aResult.mMayHaveReached ? "yes" : "no" } });
 }
 
-SendOutcome JudgeAnswer(const Entry& aEntry, Passage& aPassage,
+SendOutcome JudgeAnswer(const Entry& aEntry, RequestState& aState,
                         LiveTarget& aTarget, HttpResponse aAnswer,
                         TimePoint aNow)
 {
@@ -194,14 +193,14 @@
     out.mWhat = "target_refused";
     return out;
   }
-  ++aPassage.mRuns;
+  ++aState.mRuns;
   if (IsUnproven(aEntry, aAnswer)) {
     out.mWorthRetry = true;
     out.mWhat = "answer_unproven";
     return out;
   }
   const bool failed = aAnswer.mStatus >= 500;
-  out.mWorthRetry = failed && aNow < aPassage.mDeadline;
+  out.mWorthRetry = failed && aNow < aState.mDeadline;
   out.mWhat = failed ? "target_failed" : "answered";
   out.mAnswer = ForCaller(std::move(aAnswer));
   return out;
@@ -209,19 +208,19 @@
 
 } // namespace
 
-asio::awaitable<SendOutcome> SendOnce(Entry& aEntry, Passage& aPassage)
+asio::awaitable<SendOutcome> SendOnce(Entry& aEntry, RequestState& aState)
 {
-  const auto target = aPassage.mChoice.mTarget;
+  const auto target = aState.mChoice.mTarget;
   const auto endpoint = *ParseEndpoint(target->mRegistration.mAddress);
   const FlightCount count(target);
   const auto started = Clock::now();
   target->mLoad.mLastSend = started;
-  NoteRegion(aEntry.mRegionShare, aPassage.mChoice.mWishFar,
-             aPassage.mChoice.mFar, aPassage.mChoice.mStrict, started);
+  NoteRegion(aEntry.mRegionShare, aState.mChoice.mPrefersFar,
+             aState.mChoice.mFar, aState.mChoice.mStrict, started);
   NoteLimitedSend(aEntry, *target, started);
-  ++aPassage.mSends;
-  auto request = ForTarget(aEntry, aPassage, *target, started);
-  auto options = OptionsFor(aEntry, aPassage);
+  ++aState.mSends;
+  auto request = ForTarget(aEntry, aState, *target, started);
+  auto options = OptionsFor(aEntry, aState);
   auto result = co_await aEntry.mTargetClient.Exchange(
     endpoint, std::move(request), std::move(options));
   const auto now = Clock::now();
@@ -233,15 +232,15 @@
   if (result.mCancelled) {
     // The caller left, which says nothing of the target.
     out.mWhat = "caller_left";
-    ++aPassage.mRuns;
+    ++aState.mRuns;
     co_return out;
   }
   if (!result.mResponse) {
-    LearnFailure(aEntry, aPassage, *target, result, started, now);
+    LearnFailure(aEntry, aState, *target, result, started, now);
     out.mNotRun = !result.mMayHaveReached;
     out.mWorthRetry = true;
     out.mWhat = result.mTimedOut ? "timeout" : "connection_lost";
-    aPassage.mRuns += out.mNotRun ? 0 : 1;
+    aState.mRuns += out.mNotRun ? 0 : 1;
     co_return out;
   }
   auto took = std::chrono::duration_cast<Millis>(now - started);
@@ -251,8 +250,8 @@
   if (result.mResponse->mStatus != aEntry.mPlatform.mWrongTargetStatus) {
     LearnLimit(aEntry, *target, *result.mResponse, started, now);
   }
-  LearnAnswer(aEntry, aPassage, *target, *result.mResponse, took, now);
-  co_return JudgeAnswer(aEntry, aPassage, *target, std::move(*result.mResponse),
+  LearnAnswer(aEntry, aState, *target, *result.mResponse, took, now);
+  co_return JudgeAnswer(aEntry, aState, *target, std::move(*result.mResponse),
                         now);
 }
 
--- a/src/entry/splits.cpp
+++ b/src/entry/splits.cpp
@@ -1,6 +1,6 @@
 #include "entry/splits.hpp"
 
-#include "entry/passage.hpp"
+#include "entry/request_state.hpp"
 
 #include <array>
 #include <cmath>
@@ -41,27 +41,27 @@
 
 } // namespace
 
-void NotePicked(Entry& aEntry, const Passage& aPassage)
+void NotePicked(Entry& aEntry, const RequestState& aState)
 {
-  if (IsSplit(aPassage.mRoute)) {
-    auto& record = aEntry.mRoutes[aPassage.mRoute.mName];
-    ++record.mSplitRequests[aPassage.mService].mPicked;
+  if (IsSplit(aState.mRoute)) {
+    auto& record = aEntry.mRoutes[aState.mRoute.mName];
+    ++record.mSplitRequests[aState.mService].mPicked;
   }
 }
 
-void NoteSplitEnd(Entry& aEntry, const Passage& aPassage)
+void NoteSplitEnd(Entry& aEntry, const RequestState& aState)
 {
-  if (!IsSplit(aPassage.mRoute) || aPassage.mService.empty()) {
+  if (!IsSplit(aState.mRoute) || aState.mService.empty()) {
     return;
   }
-  const bool sent = aPassage.mSends > 0;
-  const auto it = aEntry.mRoutes.find(aPassage.mRoute.mName);
+  const bool sent = aState.mSends > 0;
+  const auto it = aEntry.mRoutes.find(aState.mRoute.mName);
   if (!sent && it != aEntry.mRoutes.end()) {
-    ++it->second.mSplitRequests[aPassage.mService].mUnsent;
+    ++it->second.mSplitRequests[aState.mService].mUnsent;
   }
-  aEntry.mMetrics.Count("split_requests", "route=\"" + aPassage.mRoute.mName +
-                                            "\",service=\"" +
-                                            aPassage.mService + "\",sent=\"" +
+  aEntry.mMetrics.Count("split_requests", "route=\"" + aState.mRoute.mName +
+                                            "\",service=\"" + aState.mService +
+                                            "\",sent=\"" +
                                             (sent ? "yes" : "no") + "\"");
 }
 
--- a/src/entry/splits.hpp
+++ b/src/entry/splits.hpp
@@ -12,7 +12,7 @@
 namespace guavaline::detail {
 
 struct Entry;
-struct Passage;
+struct RequestState;
 
 /// Requests of one split route for one of its services.
 struct PartRequests
@@ -25,10 +25,10 @@
 using SplitRequests = std::map<std::string, PartRequests>;
 
 /// Notes that a request was assigned to a service of its route.
-void NotePicked(Entry& aEntry, const Passage& aPassage);
+void NotePicked(Entry& aEntry, const RequestState& aState);
 
 /// Notes the end of a request that was assigned to a service.
-void NoteSplitEnd(Entry& aEntry, const Passage& aPassage);
+void NoteSplitEnd(Entry& aEntry, const RequestState& aState);
 
 /// Writes a line for each split route that had requests since the last one.
 void LogSplits(Entry& aEntry);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -247,25 +247,26 @@
 struct Weighed
 {
   std::optional<Forecast> mBest;
-  bool mWishFar = false; ///< Without the leeway it would leave.
-  bool mBound = false;   ///< Only the leeway is in the way.
+  bool mPrefersFar = false; ///< Without the bound on shifts it would leave.
+  bool mBound = false;      ///< Only the bound on shifts is in the way.
 };
 
-/// Takes the cheaper of two, unless the leeway between regions forbids it. A
-/// region without any candidate, and one without room unless the leeway is
-/// strict, leaves the other one.
-Weighed Weigh(const Best& aNear, const Best& aFar, const RegionLeeway& aLeeway)
+/// Takes the cheaper of two, unless the bound on shifts between regions forbids
+/// it. A region without any candidate, and one without room unless the bound on
+/// shifts is strict, leaves the other one.
+Weighed Weigh(const Best& aNear, const Best& aFar,
+              const ShiftBound& aShiftBound)
 {
-  const bool wishFar =
+  const bool prefersFar =
     aFar.mBest && (!aNear.mBest || aFar.mBest->mCostMs < aNear.mBest->mCostMs);
-  bool goFar = wishFar;
-  if (!aLeeway.mMayLeave || !aLeeway.mMayStay) {
-    goFar = aLeeway.mMayLeave;
+  bool goFar = prefersFar;
+  if (!aShiftBound.mMayLeave || !aShiftBound.mMayStay) {
+    goFar = aShiftBound.mMayLeave;
   }
   const auto& wanted = goFar ? aFar : aNear;
   const auto& other = goFar ? aNear : aFar;
-  const bool bound = aLeeway.mStrict && wanted.mShortest;
-  Weighed out{ wanted.mBest || bound ? wanted.mBest : other.mBest, wishFar,
+  const bool bound = aShiftBound.mStrict && wanted.mShortest;
+  Weighed out{ wanted.mBest || bound ? wanted.mBest : other.mBest, prefersFar,
                false };
   out.mBound = !out.mBest && other.mBest;
   return out;
@@ -322,14 +323,14 @@
     BestOf(aView, aRequest, field.mNear, field.mOthers, false, aNow);
   const auto far =
     BestOf(aView, aRequest, field.mFar, field.mOthers, true, aNow);
-  auto weighed = Weigh(near, far, aView.mLeeway);
+  auto weighed = Weigh(near, far, aView.mShiftBound);
   auto& best = weighed.mBest;
   if (!near.mShortest && !far.mShortest) {
     best = BestOf(aView, aRequest, field.mCold, {}, false, aNow).mBest;
   }
   auto out = best ? best->mChoice : Refuse(field, near, far);
-  out.mWishFar = weighed.mWishFar;
-  out.mStrict = aView.mLeeway.mStrict;
+  out.mPrefersFar = weighed.mPrefersFar;
+  out.mStrict = aView.mShiftBound.mStrict;
   if (!best) {
     out.mRefusal = weighed.mBound ? PlacementRefusal::Bound : out.mRefusal;
     return out;
--- a/src/placement/rate_limit.cpp
+++ b/src/placement/rate_limit.cpp
@@ -13,14 +13,14 @@
 constexpr double kBurst = 4;
 /// A limit is asked about at least this often by each entry that shares it:
 /// only an answer tells that it has ended.
-constexpr double kLeastPerSecond = 0.1;
+constexpr double kMinPerSecond = 0.1;
 /// An entry that does not share a limit hears of its end from those that do.
 /// Where it hears nothing it asks by a request of its own, after this silence
 /// and later by its rank, so that few ask at once.
-constexpr Millis kUnheard{ 30'000 };
-constexpr Millis kUnheardPerRank{ 5'000 };
+constexpr Millis kProbeAfter{ 30'000 };
+constexpr Millis kProbeAfterPerRank{ 5'000 };
 /// How long other entries are told that a limit has ended.
-constexpr Millis kTellEnd{ 10'000 };
+constexpr Millis kAnnounceEndFor{ 10'000 };
 
 /// @returns the tokens of all entries together
 double BurstOf(double aPerSecond) noexcept
@@ -59,7 +59,7 @@
 {
   return std::max(aLimit.mStatement.mPerSecond.value_or(0) /
                     static_cast<double>(aLimit.mShare.mSharing),
-                  kLeastPerSecond);
+                  kMinPerSecond);
 }
 
 double TokensAt(const RateLimit& aLimit, TimePoint aNow) noexcept
@@ -95,15 +95,15 @@
   return Replace(aLimit, { aPerSecond, aStated, false }, aNow);
 }
 
-bool IsToBeTold(const RateLimit& aLimit, TimePoint aNow) noexcept
+bool ShouldAnnounce(const RateLimit& aLimit, TimePoint aNow) noexcept
 {
   const auto& statement = aLimit.mStatement;
   const bool ended =
-    aLimit.mEnded != TimePoint{} && aNow - aLimit.mEnded <= kTellEnd;
-  return statement.mAnswered && (statement.mPerSecond || ended);
+    aLimit.mEnded != TimePoint{} && aNow - aLimit.mEnded <= kAnnounceEndFor;
+  return statement.mFirstHand && (statement.mPerSecond || ended);
 }
 
-std::size_t MostSharing(double aPerSecond) noexcept
+std::size_t MaxSharing(double aPerSecond) noexcept
 {
   constexpr double kMost = 1'000;
   return static_cast<std::size_t>(std::min(BurstOf(aPerSecond), kMost));
@@ -126,7 +126,7 @@
   if (!IsSharer(aLimit)) {
     const auto heard = std::max(aLastSend, aLimit.mStatement.mStated);
     const auto rank = static_cast<Millis::rep>(aLimit.mShare.mRank);
-    const auto asks = heard + kUnheard + kUnheardPerRank * rank;
+    const auto asks = heard + kProbeAfter + kProbeAfterPerRank * rank;
     return std::max(Millis(0), std::chrono::ceil<Millis>(asks - aNow));
   }
   const std::chrono::duration<double> wait(
--- a/src/placement/region_share.cpp
+++ b/src/placement/region_share.cpp
@@ -10,7 +10,7 @@
 /// Part of the allowed change that the share itself may make; the rest is for
 /// the bucket's depth.
 constexpr double kSlewPart = 0.6;
-constexpr double kWishWeight = 0.1;
+constexpr double kPreferenceWeight = 0.1;
 /// Requests by which the use of the share may be ahead or behind: a part of
 /// the allowed change in a window, within bounds.
 constexpr double kDepthPart = 0.2;
@@ -32,16 +32,17 @@
                     kLeastDepth, kMostDepth);
 }
 
-/// Moves the share toward the wish.
+/// Moves the share toward the preference.
 /// @returns the seconds since the last request, within bounds
-double Follow(RegionShare& aShare, bool aWishFar, TimePoint aNow) noexcept
+double Follow(RegionShare& aShare, bool aPrefersFar, TimePoint aNow) noexcept
 {
   const std::chrono::duration<double> gap = aNow - aShare.mUpdated;
   const double seconds = std::min(gap.count(), kMostGapSeconds);
   aShare.mUpdated = aNow;
-  aShare.mWish += kWishWeight * ((aWishFar ? 1 : 0) - aShare.mWish);
+  aShare.mPreferred +=
+    kPreferenceWeight * ((aPrefersFar ? 1 : 0) - aShare.mPreferred);
   const double step = aShare.mMostShift * kSlewPart / kWindowSeconds * seconds;
-  aShare.mFar += std::clamp(aShare.mWish - aShare.mFar, -step, step);
+  aShare.mFar += std::clamp(aShare.mPreferred - aShare.mFar, -step, step);
   return seconds;
 }
 
@@ -51,14 +52,14 @@
 {
   if (aShare.mUpdated == TimePoint{}) {
     aShare.mFar = aFar;
-    aShare.mWish = aFar;
+    aShare.mPreferred = aFar;
   }
 }
 
-void NoteRegion(RegionShare& aShare, bool aWishFar, bool aFar, bool aStrict,
+void NoteRegion(RegionShare& aShare, bool aPrefersFar, bool aFar, bool aStrict,
                 TimePoint aNow) noexcept
 {
-  const auto seconds = Follow(aShare, aWishFar, aNow);
+  const auto seconds = Follow(aShare, aPrefersFar, aNow);
   if (!aStrict) {
     aShare.mFar += seconds / kWindowSeconds * ((aFar ? 1 : 0) - aShare.mFar);
   }
@@ -73,13 +74,13 @@
     std::clamp(aShare.mTokens + aShare.mFar - (aFar ? 1 : 0), -depth, depth);
 }
 
-void NoteRefused(RegionShare& aShare, bool aWishFar, TimePoint aNow) noexcept
+void NoteRefused(RegionShare& aShare, bool aPrefersFar, TimePoint aNow) noexcept
 {
-  (void)Follow(aShare, aWishFar, aNow);
+  (void)Follow(aShare, aPrefersFar, aNow);
 }
 
-RegionLeeway LeewayOf(const RegionShare& aShare, TimePoint aDisturbed,
-                      TimePoint aNow) noexcept
+ShiftBound ShiftBoundOf(const RegionShare& aShare, TimePoint aDisturbed,
+                        TimePoint aNow) noexcept
 {
   const double next = aShare.mTokens + aShare.mFar;
   const double depth = DepthOf(aShare);
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -36,7 +36,7 @@
   Route mRoute;
   std::string mService = "proofs";
   ColdBound mCold{ 6.9, 1.5, 5 };
-  RegionLeeway mLeeway;
+  ShiftBound mShiftBound;
   bool mUnseen = false;
 
   Scene(int aNear, int aFar)
@@ -54,8 +54,8 @@
                                        std::set<std::string> aExcluded = {},
                                        Millis aLimit = 2s) const
   {
-    const PlacementView view{ mRegistry, mTrips, mWarm,   mTimes, mCold,
-                              12,        4,      mUnseen, mLeeway };
+    const PlacementView view{ mRegistry, mTrips, mWarm,   mTimes,     mCold,
+                              12,        4,      mUnseen, mShiftBound };
     const PlacementRequest request{ mRoute, mService, aKey, aNow + aLimit,
                                     std::move(aExcluded) };
     return ChooseOwner(view, request, aNow);
@@ -179,38 +179,38 @@
   cr_assert_eq(scene.Choose(Key(1), kNow).mRefusal, PlacementRefusal::NoTarget);
 }
 
-Test(placement, the_leeway_between_regions_binds_while_there_is_room)
+Test(placement, the_shift_bound_between_regions_binds_while_there_is_room)
 {
   Scene scene(4, 4);
   for (auto& [id, target] : scene.mRegistry.mTargets) {
     target->mLoad.mOwn = target->mRegion == "a" ? 8 : 0;
   }
   scene.mRoute.mPriority = 1;
-  scene.mLeeway.mMayLeave = false;
+  scene.mShiftBound.mMayLeave = false;
   cr_assert_not(scene.Choose(Key(1), kNow).mFar);
-  scene.mLeeway = { false, true };
+  scene.mShiftBound = { false, true };
   cr_assert(scene.Choose(Key(1), kNow).mFar);
 }
 
 // Pattern: a burst that leaves no room in the own region.
-Test(placement, a_strict_leeway_binds_also_where_there_is_no_room)
+Test(placement, a_strict_shift_bound_binds_also_where_there_is_no_room)
 {
   Scene scene(4, 4);
   for (auto& [id, target] : scene.mRegistry.mTargets) {
     target->mLoad.mOwn = target->mRegion == "a" ? 50 : 0;
   }
-  scene.mLeeway = { true, false, false };
+  scene.mShiftBound = { true, false, false };
   cr_assert(scene.Choose(Key(1), kNow).mFar);
-  scene.mLeeway.mStrict = true;
+  scene.mShiftBound.mStrict = true;
   const auto refused = scene.Choose(Key(1), kNow);
   cr_assert_eq(refused.mRefusal, PlacementRefusal::Bound);
-  cr_assert(refused.mWishFar);
+  cr_assert(refused.mPrefersFar);
   cr_assert_gt(refused.mClearsIn.count(), 0);
   // With leave to go it goes, and a region without targets binds nobody.
-  scene.mLeeway.mMayLeave = true;
+  scene.mShiftBound.mMayLeave = true;
   cr_assert(scene.Choose(Key(1), kNow).mFar);
   Scene lost(0, 4);
-  lost.mLeeway = { true, false, true };
+  lost.mShiftBound = { true, false, true };
   cr_assert(lost.Choose(Key(1), kNow).mFar);
 }
 
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -46,7 +46,7 @@
     , mLimits(aEntries)
     , mLastSends(aEntries, kNow)
   {
-    const auto most = MostSharing(aPerSecond);
+    const auto most = MaxSharing(aPerSecond);
     for (std::size_t n = 0; n < aEntries; ++n) {
       TakeAnswer(mLimits[n], aPerSecond, kNow, kNow);
       SetShare(mLimits[n],
@@ -191,14 +191,14 @@
 Test(rate_limit, only_what_a_target_told_this_entry_is_told_on)
 {
   RateLimit limit;
-  cr_assert_not(IsToBeTold(limit, kNow));
+  cr_assert_not(ShouldAnnounce(limit, kNow));
   TakeNews(limit, 2.0, kNow, kNow);
-  cr_assert_not(IsToBeTold(limit, kNow));
+  cr_assert_not(ShouldAnnounce(limit, kNow));
   TakeAnswer(limit, 2.0, kNow, kNow + 1s);
-  cr_assert(IsToBeTold(limit, kNow + 60s));
+  cr_assert(ShouldAnnounce(limit, kNow + 60s));
   TakeAnswer(limit, {}, kNow + 60s, kNow + 61s);
-  cr_assert(IsToBeTold(limit, kNow + 62s));
-  cr_assert_not(IsToBeTold(limit, kNow + 90s));
+  cr_assert(ShouldAnnounce(limit, kNow + 62s));
+  cr_assert_not(ShouldAnnounce(limit, kNow + 90s));
 }
 
 Test(rate_limit, a_limit_that_nothing_is_heard_of_is_asked_about)
--- a/tests/unit/region_share_test.cpp
+++ b/tests/unit/region_share_test.cpp
@@ -15,7 +15,7 @@
 
 /// Far shares of successive windows when as many requests as possible want
 /// to leave from the start.
-std::vector<double> ShiftAway(RegionShare& aShare, double aWish)
+std::vector<double> ShiftAway(RegionShare& aShare, double aPreferred)
 {
   std::vector<double> out;
   int n = 0;
@@ -23,10 +23,11 @@
     double far = 0;
     for (int k = 0; k < 200; ++k, ++n) {
       const auto now = kNow + n * 10ms;
-      const auto leeway = LeewayOf(aShare, kNow, now);
-      const bool wish = std::fmod(n * 0.618, 1.0) < aWish;
-      const bool leave = wish ? leeway.mMayLeave : !leeway.mMayStay;
-      NoteRegion(aShare, wish, leave, leeway.mStrict, now);
+      const auto shiftBound = ShiftBoundOf(aShare, kNow, now);
+      const bool prefersFar = std::fmod(n * 0.618, 1.0) < aPreferred;
+      const bool leave =
+        prefersFar ? shiftBound.mMayLeave : !shiftBound.mMayStay;
+      NoteRegion(aShare, prefersFar, leave, shiftBound.mStrict, now);
       far += leave ? 1 : 0;
     }
     out.push_back(far / 200);
@@ -36,7 +37,7 @@
 
 } // namespace
 
-Test(region_share, a_sudden_wish_to_leave_is_met_in_steps)
+Test(region_share, a_sudden_preference_to_leave_is_met_in_steps)
 {
   RegionShare share;
   const auto shares = ShiftAway(share, 0.9);
@@ -70,11 +71,11 @@
 
 // Pattern: a burst that fills the own region; placement would send all of it
 // to other regions at once.
-Test(region_share, in_calm_times_the_leeway_is_strict)
+Test(region_share, in_calm_times_the_shift_bound_is_strict)
 {
   RegionShare share;
-  cr_assert(LeewayOf(share, kNow - 5s, kNow).mStrict);
-  cr_assert_not(LeewayOf(share, kNow - 1s, kNow).mStrict);
+  cr_assert(ShiftBoundOf(share, kNow - 5s, kNow).mStrict);
+  cr_assert_not(ShiftBoundOf(share, kNow - 1s, kNow).mStrict);
 }
 
 // Pattern: several entries of a region that share its bound without talk; few
@@ -90,11 +91,12 @@
     for (int k = 0; k < kPerWindow; ++k) {
       for (auto& it : entries) {
         const auto now = kNow + window * 2s + k * 36ms;
-        const auto leeway = LeewayOf(it, {}, now);
+        const auto shiftBound = ShiftBoundOf(it, {}, now);
         // Four calm windows, then every request wishes to leave.
-        const bool wish = window >= 4;
-        const bool leave = wish ? leeway.mMayLeave : !leeway.mMayStay;
-        NoteRegion(it, wish, leave, leeway.mStrict, now);
+        const bool prefersFar = window >= 4;
+        const bool leave =
+          prefersFar ? shiftBound.mMayLeave : !shiftBound.mMayStay;
+        NoteRegion(it, prefersFar, leave, shiftBound.mStrict, now);
         far += leave ? 1 : 0;
       }
     }
@@ -123,12 +125,12 @@
   int left = 0;
   int bound = 0;
   for (int n = 0; n < 200; ++n) {
-    const auto leeway = LeewayOf(share, {}, now);
-    cr_assert(leeway.mStrict);
-    const bool wish = n % 2 == 0;
-    bound += wish && !leeway.mMayLeave ? 1 : 0;
-    left += wish && leeway.mMayLeave ? 1 : 0;
-    send(wish && leeway.mMayLeave, true);
+    const auto shiftBound = ShiftBoundOf(share, {}, now);
+    cr_assert(shiftBound.mStrict);
+    const bool prefersFar = n % 2 == 0;
+    bound += prefersFar && !shiftBound.mMayLeave ? 1 : 0;
+    left += prefersFar && shiftBound.mMayLeave ? 1 : 0;
+    send(prefersFar && shiftBound.mMayLeave, true);
   }
   cr_assert_leq(bound, 30, "%d of 100 held back", bound);
   cr_assert_geq(left, 70);
