--- a/tests/unit/limit_sharing_test.cpp
+++ b/tests/unit/limit_sharing_test.cpp
@@ -10,6 +10,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace guavaline;
 using namespace guavaline::detail;
 using namespace std::chrono_literals;
@@ -218,6 +220,28 @@
   cr_assert(TellLimits(started.At(0), now).empty());
 }
 
+// Guards against a limit that outlives its end at entries that were not told:
+// heartbeats carry few limits, and those that hold are always newer.
+Test(limit_sharing, heartbeats_tell_of_ended_limits_before_those_that_hold)
+{
+  RegionOfEntries region(1);
+  const auto now = Clock::now();
+  for (int n = 0; n < 40; ++n) {
+    region.AddTarget("");
+  }
+  for (const auto& [id, target] : region.At(0).mRegistry.mTargets) {
+    TakeAnswer(target->mLimit, 0.5, now - 5s, now - 5s);
+    const bool ends = id == "t1" || id == "t40";
+    TakeAnswer(target->mLimit, ends ? std::optional<double>() : 0.5, now - 3s,
+               ends ? now - 2s : now);
+  }
+  const auto news = TellLimits(region.At(0), now);
+  const auto ended = std::count_if(
+    news.begin(), news.end(), [](const LimitNews& a) { return !a.mPerSecond; });
+  cr_assert_lt(news.size(), 40U);
+  cr_assert_eq(ended, 2);
+}
+
 // Guards against a limit that outlives the target's life that named it.
 Test(limit_sharing, a_target_that_starts_again_has_no_limit)
 {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -405,6 +405,25 @@
   cr_assert_eq(scene.Choose(Key(1), kNow).mTarget, owner);
 }
 
+// Guards against a limit that holds long after the target last named it: in
+// calm all owners are cheaper, so that no request asked whether it had ended.
+Test(placement, a_target_that_has_not_confirmed_its_limit_owns_objects_again)
+{
+  Scene scene(10, 0);
+  const auto owner = scene.Choose(Key(1), kNow).mTarget;
+  TakeAnswer(owner->mLimit, 1.0, kNow, kNow);
+  SetShare(owner->mLimit, { 1, 0 }, kNow);
+  cr_assert_neq(scene.Choose(Key(1), kNow + 9s).mTarget, owner);
+  const auto later = kNow + 11s;
+  cr_assert_eq(scene.Choose(Key(1), later).mTarget, owner);
+  // One request asks, and its answer tells whether the limit holds.
+  NoteSend(owner->mLimit, later);
+  owner->mLoad.mLastSend = later;
+  cr_assert_neq(scene.Choose(Key(1), later + 2s).mTarget, owner);
+  TakeAnswer(owner->mLimit, 1.0, later, later + 3s);
+  cr_assert_neq(scene.Choose(Key(1), later + 4s).mTarget, owner);
+}
+
 Test(placement, where_all_targets_are_at_their_limits_the_refusal_tells_when)
 {
   Scene scene(2, 0);
