Tell other entries of ended limits before those that hold

Cause: a heartbeat carries 16 limits, the newest statements first; a limit that holds is confirmed by each answer and is always newer than an ended one. With 16 of them, an entry that missed the one message at the end (cut off, restarted, paused) kept the limit for 30 s or more, and placed or refused requests by it. Class of fault: the news that is not repeated by itself has the least priority in a bounded message.

Evidence: limit_sharing::heartbeats_tell_of_ended_limits_before_those_that_hold: 0 of 2 ended limits told before, 2 of 2 after.

--- a/src/entry/rate_limits.cpp
+++ b/src/entry/rate_limits.cpp
@@ -101,8 +101,11 @@
       out.push_back(NewsOf(*target, aNow));
     }
   }
+  // Ended limits first: those that hold are confirmed by each answer, and so
+  // are always newer.
   std::sort(out.begin(), out.end(), [](const LimitNews& a, const LimitNews& b) {
-    return a.mAge < b.mAge;
+    return std::pair(a.mPerSecond.has_value(), a.mAge) <
+           std::pair(b.mPerSecond.has_value(), b.mAge);
   });
   out.resize(std::min(out.size(), kMaxLimitNews));
   return out;
--- a/src/entry/rate_limits.hpp
+++ b/src/entry/rate_limits.hpp
@@ -24,7 +24,8 @@
   Millis mAge{ 0 };
 };
 
-/// @returns what targets told this entry of their limits, the newest first
+/// @returns what targets told this entry of their limits: those that ended
+///          first, then the newest, as many as a heartbeat carries
 [[nodiscard]] std::vector<LimitNews> TellLimits(const Entry& aEntry,
                                                 TimePoint aNow);
 
