Let a target whose limit may have ended own its objects again

Cause: a target with a rate limit owns no objects, so that in calm all owners are cheaper than it and no request goes there. Only an answer tells that a limit has ended: the belief held without end, though docs/DESIGN.md said that each entry that shares it sends a request in ten seconds. Class of fault: a belief that only its own use can refute keeps itself from being used.

Change: where no answer was heard of for 10 s, by this entry or another, and nothing was sent meanwhile, the target owns its objects again. Its tokens bind as before, so that few requests ask, one at a time, and the first answer settles it for all.

Evidence: placement::a_target_that_has_not_confirmed_its_limit_owns_objects_again failed before. The simulation behind targets_that_name_limits_serve_more_than_if_they_were_gone now does what the program does: answers name the limit and sends are timed; before, limits were named once and never again.

--- a/include/guavaline/placement/rate_limit.hpp
+++ b/include/guavaline/placement/rate_limit.hpp
@@ -78,6 +78,13 @@
 [[nodiscard]] Millis LimitedFor(const RateLimit& aLimit, TimePoint aLastSend,
                                 TimePoint aNow) noexcept;
 
+/// @returns true where nothing was heard of a limit for so long that it may
+///          have ended: the target is to be chosen as if it named none, as far
+///          as its limit goes, so that an answer tells
+/// @param aLastSend  when this entry last sent the target a request
+[[nodiscard]] bool MayHaveEnded(const RateLimit& aLimit, TimePoint aLastSend,
+                                TimePoint aNow) noexcept;
+
 /// Takes a token for a request that is sent.
 void NoteSend(RateLimit& aLimit, TimePoint aNow) noexcept;
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -152,12 +152,18 @@
   bool mAny = false;
 };
 
+/// A target with a rate limit owns no objects: both it and the next owner would
+/// meet each too seldom to keep it warm.
+bool OwnsObjects(const LiveTarget& aTarget, TimePoint aNow) noexcept
+{
+  return !aTarget.mLimit.mStatement.mPerSecond ||
+         MayHaveEnded(aTarget.mLimit, aTarget.mLoad.mLastSend, aNow);
+}
+
 Field FindOwners(const PlacementView& aView, const PlacementRequest& aRequest,
                  const std::vector<TargetPtr>& aTargets, TimePoint aNow)
 {
   Field out;
-  // A target with a rate limit owns no objects: both it and the next owner
-  // would meet each too seldom to keep it warm.
   Owners<1> limitedOwner;
   for (const auto& it : aTargets) {
     if (!MayServe(aView.mRegistry, *it, aNow) ||
@@ -188,10 +194,10 @@
     }
     if (it->mRegion != aView.mTrips.mOwnRegion) {
       out.mFar.Offer(candidate);
-    } else if (it->mLimit.mStatement.mPerSecond) {
-      limitedOwner.Offer(candidate);
-    } else {
+    } else if (OwnsObjects(*it, aNow)) {
       out.mNear.Offer(candidate);
+    } else {
+      limitedOwner.Offer(candidate);
     }
   }
   if (auto* target = limitedOwner.mBest[0].mTarget) {
--- a/src/placement/rate_limit.cpp
+++ b/src/placement/rate_limit.cpp
@@ -11,9 +11,11 @@
 /// requests, in four seconds; a full burst and four seconds of the rate are
 /// less than that.
 constexpr double kBurst = 4;
-/// A limit is asked about at least this often by each entry that shares it:
-/// only an answer tells that it has ended.
+/// Each entry that shares a limit may send at least this much, since only an
+/// answer tells that it has ended.
 constexpr double kMinPerSecond = 0.1;
+/// A limit that nothing was heard of for this long may have ended.
+constexpr Millis kConfirmedFor{ 10'000 };
 /// An entry that does not share a limit hears of its end from those that do.
 /// Where it hears nothing it asks by a request of its own, after this silence
 /// and later by its rank, so that few ask at once.
@@ -134,6 +136,14 @@
   return std::chrono::ceil<Millis>(wait);
 }
 
+bool MayHaveEnded(const RateLimit& aLimit, TimePoint aLastSend,
+                  TimePoint aNow) noexcept
+{
+  const auto& statement = aLimit.mStatement;
+  return statement.mPerSecond &&
+         aNow - std::max(aLastSend, statement.mStated) > kConfirmedFor;
+}
+
 void NoteSend(RateLimit& aLimit, TimePoint aNow) noexcept
 {
   if (!aLimit.mStatement.mPerSecond) {
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -315,6 +315,9 @@
     atMs += gap(random);
     const auto now = kNow + Millis(static_cast<std::int64_t>(atMs));
     while (!running.empty() && running.top().mEnd <= now) {
+      // A limit does not end, and each answer names it.
+      auto& limit = running.top().mTarget->mLimit;
+      TakeAnswer(limit, limit.mStatement.mPerSecond, now, now);
       --running.top().mTarget->mLoad.mOwn;
       running.pop();
     }
@@ -330,6 +333,7 @@
       continue;
     }
     NoteSend(target->mLimit, now);
+    target->mLoad.mLastSend = now;
     auto& free = slots[target];
     free.resize(target->mRegistration.mSlots, kNow);
     auto& slot = *std::min_element(free.begin(), free.end());
