Share the set-up of an entry with one route between tests

forward_test and limit_sharing_test each had an adapter, a route with fresh views, a target and the wait for an answer; they stand once in entry_fixtures now.

--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -1,6 +1,7 @@
 #include "entry/entry.hpp"
 #include "entry/rate_limits.hpp"
 
+#include "entry_fixtures.hpp"
 #include "fixtures.hpp"
 #include "scripted_server.hpp"
 
@@ -28,45 +29,14 @@
          "Content-Length: 2\r\n\r\nok";
 }
 
-PlatformAdapter MakeAdapter()
-{
-  PlatformAdapter out;
-  out.mHeaders = { "Id",   "Time-Left", "Target", "Not-Run",
-                   "Load", "Proof",     "Limit" };
-  out.mObjectOf = [](const HttpRequest&) { return std::string("object"); };
-  out.mReadLoad = [](std::string_view) {
-    return std::optional<ReportedLoad>();
-  };
-  out.mReadRateLimit = [](std::string_view a) {
-    return a == "bad" ? std::optional<double>() : std::stod(std::string(a));
-  };
-  return out;
-}
-
 /// An entry with one or more targets and one route.
 struct Bed
 {
   asio::io_context mContext{ 1 };
-  Entry mEntry{ mContext, tests::EntrySettingsOf("e1"), MakeAdapter() };
+  Entry mEntry{ mContext, tests::EntrySettingsOf("e1"), tests::PlainAdapter() };
   std::vector<std::unique_ptr<ScriptedServer>> mTargets;
 
-  explicit Bed(RequestKind aKind)
-  {
-    Route route;
-    route.mName = "route";
-    route.mHost = "a.example";
-    route.mPathPrefix = "/x/";
-    route.mKind = aKind;
-    route.mTimeout = 1s;
-    route.mMaxTargets = 2;
-    route.mServices = { { "service", 1 } };
-    mEntry.mRouting.mVersion = 3;
-    mEntry.mRouting.mRoutes = { route };
-    for (const auto it : { ObjectKind::Targets, ObjectKind::Evacuations }) {
-      mEntry.mFollows[it].mView.mListed = true;
-      mEntry.mFollows[it].mView.mConfirmed = Clock::now();
-    }
-  }
+  explicit Bed(RequestKind aKind) { tests::ServeOneRoute(mEntry, aKind); }
 
   void Add(const tests::Script& aScript, const char* aService = "service")
   {
@@ -78,37 +48,21 @@
   void Register(const std::string& aId, const std::string& aAddress,
                 const char* aService = "service")
   {
-    Registration target;
-    target.mId = aId;
-    target.mService = aService;
-    target.mAddress = aAddress;
-    target.mFailureDomain = "d1";
-    target.mSlots = 4;
-    TakeRegistration(mEntry.mRegistry, target, Clock::now());
+    TakeRegistration(mEntry.mRegistry, tests::TargetAt(aId, aAddress, aService),
+                     Clock::now());
   }
 
   HttpResponse Send(const std::string& aTimeLeft = "2000",
                     const std::string& aPath = "/x/1")
   {
-    HttpResponse out;
-    asio::co_spawn(
-      mContext,
-      [&]() -> asio::awaitable<void> {
-        HttpRequest request;
-        request.mTarget = aPath;
-        request.mArrived = Clock::now();
-        request.mHeaders = { { "Host", "a.example" },
-                             { "Id", "q1" },
-                             { "Time-Left", aTimeLeft },
-                             { "Connection", "close" },
-                             { "Other", "kept" } };
-        out = co_await ForwardRequest(mEntry, std::move(request));
-        mContext.stop();
-      },
-      asio::detached);
-    mContext.restart();
-    mContext.run();
-    return out;
+    HttpRequest request;
+    request.mTarget = aPath;
+    request.mHeaders = { { "Host", "a.example" },
+                         { "Id", "q1" },
+                         { "Time-Left", aTimeLeft },
+                         { "Connection", "close" },
+                         { "Other", "kept" } };
+    return tests::Forward(mContext, mEntry, std::move(request));
   }
 
   [[nodiscard]] int Runs() const
--- a/tests/unit/limit_sharing_test.cpp
+++ b/tests/unit/limit_sharing_test.cpp
@@ -1,13 +1,11 @@
 #include "entry/messages.hpp"
 
+#include "entry_fixtures.hpp"
 #include "fixtures.hpp"
 #include "scripted_server.hpp"
 
 #include <guavaline/core/hash.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -26,18 +24,11 @@
 constexpr double kOver = 1.5;
 constexpr double kSlack = 5;
 
+/// @returns an adapter for which each request is for another object
 PlatformAdapter MakeAdapter(std::mt19937_64& aObjects)
 {
-  PlatformAdapter out;
-  out.mHeaders = { "Id",   "Time-Left", "Target", "Not-Run",
-                   "Load", "Proof",     "Limit" };
+  auto out = tests::PlainAdapter();
   out.mObjectOf = [&](const HttpRequest&) { return HexId(aObjects()); };
-  out.mReadLoad = [](std::string_view) {
-    return std::optional<ReportedLoad>();
-  };
-  out.mReadRateLimit = [](std::string_view a) {
-    return std::optional<double>(std::stod(std::string(a)));
-  };
   return out;
 }
 
@@ -51,7 +42,8 @@
       mEntries.push_back(std::make_unique<Entry>(
         mContext, tests::EntrySettingsOf("e" + std::to_string(n)),
         MakeAdapter(mObjects)));
-      SetUp(*mEntries.back());
+      tests::ServeOneRoute(*mEntries.back(), RequestKind::Idempotent);
+      mEntries.back()->mRouting.mRoutes[0].mTimeout = Millis(0);
     }
     for (const auto& it : mEntries) {
       for (const auto& other : mEntries) {
@@ -67,12 +59,9 @@
                "Content-Length: 2\r\n\r\nok" };
     };
     mTargets.push_back(std::make_unique<ScriptedServer>(mContext, script));
-    Registration target;
-    target.mId = "t" + std::to_string(mTargets.size());
-    target.mService = "service";
-    target.mAddress = "127.0.0.1:" + std::to_string(mTargets.back()->Port());
-    target.mFailureDomain = "d1";
-    target.mSlots = 4;
+    const auto target =
+      tests::TargetAt("t" + std::to_string(mTargets.size()),
+                      "127.0.0.1:" + std::to_string(mTargets.back()->Port()));
     for (const auto& it : mEntries) {
       TakeRegistration(it->mRegistry, target, Clock::now());
     }
@@ -100,42 +89,14 @@
   [[nodiscard]] Entry& At(std::size_t aEntry) { return *mEntries[aEntry]; }
 
 private:
-  static void SetUp(Entry& aEntry)
-  {
-    Route route;
-    route.mName = "route";
-    route.mHost = "a.example";
-    route.mPathPrefix = "/x/";
-    route.mKind = RequestKind::Idempotent;
-    route.mMaxTargets = 2;
-    route.mServices = { { "service", 1 } };
-    aEntry.mRouting.mVersion = 3;
-    aEntry.mRouting.mRoutes = { route };
-    for (const auto it : { ObjectKind::Targets, ObjectKind::Evacuations }) {
-      aEntry.mFollows[it].mView.mListed = true;
-      aEntry.mFollows[it].mView.mConfirmed = Clock::now();
-    }
-  }
-
   HttpResponse Send(Entry& aEntry)
   {
-    HttpResponse out;
-    asio::co_spawn(
-      mContext,
-      [&]() -> asio::awaitable<void> {
-        HttpRequest request;
-        request.mTarget = "/x/1";
-        request.mArrived = Clock::now();
-        request.mHeaders = { { "Host", "a.example" },
-                             { "Id", "q" },
-                             { "Time-Left", "9000" } };
-        out = co_await ForwardRequest(aEntry, std::move(request));
-        mContext.stop();
-      },
-      asio::detached);
-    mContext.restart();
-    mContext.run();
-    return out;
+    HttpRequest request;
+    request.mTarget = "/x/1";
+    request.mHeaders = { { "Host", "a.example" },
+                         { "Id", "q" },
+                         { "Time-Left", "9000" } };
+    return tests::Forward(mContext, aEntry, std::move(request));
   }
 
   std::mt19937_64 mObjects{ 1 };
