Name the digest of broken runs in logs, and log what clears a request

Callers saw: nothing yet; on-call could not tell whether a request that crashes targets is not recognised or not added up over entries. exchange_failed names the digest by which crashes are counted, crash_record_cleared names the answer that erased a count, guavaline_target_crashes_total counts recognised crashes. The stand-in target can be crashed by a request.

--- a/include/guavaline/crashers/crashers.hpp
+++ b/include/guavaline/crashers/crashers.hpp
@@ -34,7 +34,8 @@
                TimePoint aNow);
 
 /// Notes a whole answer, which clears the request.
-void NoteServed(CrasherTable& aTable, std::uint64_t aDigest);
+/// @returns true where crashes had been counted
+bool NoteServed(CrasherTable& aTable, std::uint64_t aDigest);
 
 /// Notes that a peer refuses a request.
 void NoteRefusedByPeer(CrasherTable& aTable, std::uint64_t aDigest,
--- a/src/crashers/crashers.cpp
+++ b/src/crashers/crashers.cpp
@@ -32,9 +32,9 @@
   }
 }
 
-void NoteServed(CrasherTable& aTable, std::uint64_t aDigest)
+bool NoteServed(CrasherTable& aTable, std::uint64_t aDigest)
 {
-  aTable.mRecords.erase(aDigest);
+  return aTable.mRecords.erase(aDigest) > 0;
 }
 
 void NoteRefusedByPeer(CrasherTable& aTable, std::uint64_t aDigest,
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -125,7 +125,13 @@
   }
   NoteAnswer(aTarget.mLoad, inTarget, choice.mWait + choice.mRun, aNow);
   NoteServed(aEntry.mWarm, WarmId(aState.mKey, aTarget.mLife), aNow);
-  NoteServed(aEntry.mCrashers, aState.mDigest);
+  if (NoteServed(aEntry.mCrashers, aState.mDigest)) {
+    LogBounded(LogClass::Failure, LogLevel::Info, "crash_record_cleared",
+               { { "request", aState.mId },
+                 { "digest", HexId(aState.mDigest) },
+                 { "target", aTarget.mRegistration.mId },
+                 { "status", std::to_string(aAnswer.mStatus) } });
+  }
 }
 
 /// Tells a target that crashed from one whose answer was lost: the crashed one
@@ -148,6 +154,8 @@
     Log(LogLevel::Warning, "target_crashed",
         { { "target", aTarget.mRegistration.mId },
           { "digest", HexId(run.mDigest) } });
+    aEntry.mMetrics.Count("target_crashes",
+                          "service=\"" + aTarget.mRegistration.mService + "\"");
   }
 }
 
@@ -175,6 +183,7 @@
   LogBounded(LogClass::Failure, LogLevel::Warning, "exchange_failed",
              { { "request", aState.mId },
                { "target", aTarget.mRegistration.mId },
+               { "digest", HexId(aState.mDigest) },
                { "step", aResult.mError.mStep },
                { "peer", aResult.mError.mPeer },
                { "error", aResult.mError.mReason },
--- a/testing/standin/platform_target.cpp
+++ b/testing/standin/platform_target.cpp
@@ -79,6 +79,17 @@
   mOptions.mService = std::move(aService);
 }
 
+void PlatformTarget::CrashByRequest()
+{
+  // The connection that is being served must outlive its handler.
+  asio::post(mContext, [this] {
+    Crash();
+    if (mOnCrash) {
+      mOnCrash();
+    }
+  });
+}
+
 asio::awaitable<HttpResponse> PlatformTarget::Handle(HttpRequest aRequest)
 {
   HttpResponse out;
@@ -95,6 +106,9 @@
     co_return out;
   }
   PlatformRun run(*this, aRequest);
+  if (aRequest.mTarget.starts_with(kCrashPath)) {
+    CrashByRequest();
+  }
   std::exponential_distribution<double> spread(1 / mOptions.mMeanMs);
   asio::steady_timer timer(
     mContext, Millis(static_cast<std::int64_t>(spread(mRandom) * mSlow)));
--- a/testing/standin/platform_target.hpp
+++ b/testing/standin/platform_target.hpp
@@ -7,6 +7,7 @@
 #include "history/event.hpp"
 #include "http/server.hpp"
 
+#include <functional>
 #include <memory>
 #include <random>
 
@@ -15,6 +16,9 @@
 /// Header by which soak callers name the entry that they sent to.
 inline constexpr const char* kEntryHeader = "X-Soak-Entry";
 
+/// Requests whose path begins so crash each target that begins to run them.
+inline constexpr std::string_view kCrashPath = "/crash/";
+
 struct PlatformTargetOptions
 {
   std::string mId;
@@ -40,6 +44,8 @@
   void Become(std::string aId, std::string aService);
   /// Makes runs longer.
   void SetSlow(double aFactor) noexcept { mSlow = aFactor; }
+  /// Called after a request has crashed it.
+  void OnCrash(std::function<void()> aDo) { mOnCrash = std::move(aDo); }
   /// Names a rate limit in answers; 0 for none.
   void SetLimit(double aPerSecond) noexcept { mPerSecond = aPerSecond; }
   [[nodiscard]] const PlatformTargetOptions& About() const noexcept
@@ -50,6 +56,7 @@
 private:
   friend class PlatformRun;
 
+  void CrashByRequest();
   boost::asio::awaitable<detail::HttpResponse> Handle(
     detail::HttpRequest aRequest);
 
@@ -58,6 +65,7 @@
   History& mHistory;
   std::mt19937_64 mRandom;
   std::unique_ptr<detail::HttpServer> mServer;
+  std::function<void()> mOnCrash;
   double mSlow = 1;
   double mPerSecond = 0;
   std::uint32_t mInFlight = 0;
