Let only a run that ends well clear a request that crashed a target

Callers saw: a request that crashes targets was sent on. One cause: every answer below 500 erased the count of crashes, also 421 from a target that came back under another id after the crash, and a refusal marked as not run. The same answers taught the route's run times, and told that the object was warm there. forward::an_answer_without_a_run_clears_no_crash failed before (the record was gone after 421); 26 of 26 forward tests pass now. Class of fault: a sign taken for more than it says.

--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -103,7 +103,15 @@
          FindHeader(aAnswer.mHeaders, aEntry.mPlatform.mHeaders.mProof).empty();
 }
 
-/// Learns from an answer.
+/// True for an answer that says that the target did not run the request.
+bool SaysNotRun(const Entry& aEntry, const HttpResponse& aAnswer)
+{
+  return aAnswer.mStatus == aEntry.mPlatform.mWrongTargetStatus ||
+         !FindHeader(aAnswer.mHeaders, aEntry.mPlatform.mHeaders.mNotRun)
+            .empty();
+}
+
+/// Learns from an answer. One without a run teaches nothing of runs.
 void LearnAnswer(Entry& aEntry, const RequestState& aState, LiveTarget& aTarget,
                  const HttpResponse& aAnswer, Millis aTook, TimePoint aNow)
 {
@@ -118,6 +126,9 @@
     NoteFailed(aTarget.mLoad, aNow);
     return;
   }
+  if (SaysNotRun(aEntry, aAnswer)) {
+    return;
+  }
   const auto inTarget = std::max(Millis(1), aTook - choice.mRoundTrip);
   if (choice.mWait == Millis(0) && Slowness(aTarget.mLoad, aNow) < kSlowRun) {
     auto& record = aEntry.mRoutes[aState.mRoute.mName];
@@ -196,7 +207,6 @@
                         TimePoint aNow)
 {
   SendOutcome out;
-  const auto& names = aEntry.mPlatform.mHeaders;
   if (aAnswer.mStatus == aEntry.mPlatform.mWrongTargetStatus) {
     // The address belongs to another target by now.
     aTarget.mLeft = true;
@@ -205,7 +215,7 @@
     out.mWhat = "wrong_target";
     return out;
   }
-  if (!FindHeader(aAnswer.mHeaders, names.mNotRun).empty()) {
+  if (SaysNotRun(aEntry, aAnswer)) {
     out.mNotRun = true;
     out.mWorthRetry = aAnswer.mStatus >= 421;
     out.mWhat = "target_refused";
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -298,6 +298,22 @@
                 bounds.mRetryRatio * kRequests + bounds.mRetrySlack);
 }
 
+namespace {
+
+/// Crashes a target by a request for "/x/bad".
+/// @returns the request's digest
+std::uint64_t CrashOnce(Bed& aBed)
+{
+  aBed.Add(Lose);
+  cr_assert_eq(aBed.Send("2000", "/x/bad").mStatus, 502U);
+  aBed.mTargets.back()->StopListening();
+  cr_assert_eq(aBed.Send("2000", "/x/good").mStatus, 503U);
+  cr_assert_eq(aBed.mEntry.mCrashers.mRecords.size(), 1U);
+  return aBed.mEntry.mCrashers.mRecords.begin()->first;
+}
+
+} // namespace
+
 Test(forward, a_request_that_crashes_targets_is_refused_after_the_second)
 {
   Bed bed(RequestKind::NonIdempotent);
@@ -314,6 +330,24 @@
   cr_assert_eq(bed.mTargets[2]->Requests(), 1);
 }
 
+// Guards against a crash that is forgotten because a target refuses the
+// request: only a run that ends well shows that it crashes nothing.
+Test(forward, an_answer_without_a_run_clears_no_crash)
+{
+  for (const auto* refusal :
+       { "HTTP/1.1 421 Any\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 429 Any\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n" }) {
+    Bed bed(RequestKind::NonIdempotent);
+    const auto digest = CrashOnce(bed);
+    bed.Add([refusal](int, const std::string&) -> ScriptedAnswer {
+      return { refusal };
+    });
+    cr_assert_neq(bed.Send("2000", "/x/bad").mStatus, 200U);
+    cr_assert_eq(bed.mEntry.mCrashers.mRecords.count(digest), 1U, "%s",
+                 refusal);
+  }
+}
+
 Test(forward, lost_answers_make_no_request_suspect)
 {
   Bed bed(RequestKind::NonIdempotent);
