Recognise the crash of a target from its first sign, for all its runs

Callers saw: a request that crashes targets was sent on. Cause: a crash counted only where the same entry happened to connect to the target again within 3 s, and only for the last of the runs that broke with it.

An entry that loses a run now asks the target whether it still listens; where it does, the connection is kept for the next request. A refused connection, or another life at the target's id or address within 10 s, counts for every run that broke with it, unless a kept connection shows that it lives. A life counts once, however many entries see it end. Retry-After tells how long a request stays refused.

Class of fault: knowledge that depends on chance traffic.

--- a/include/guavaline/core/hash.hpp
+++ b/include/guavaline/core/hash.hpp
@@ -3,6 +3,7 @@
 /// Stable 64-bit hashes, equal on every host and build.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,4 +23,9 @@
 /// Writes a hash as 16 hexadecimal digits.
 [[nodiscard]] std::string HexId(std::uint64_t aHash);
 
+/// Reads what HexId wrote.
+/// @returns nothing where the text is no hexadecimal number
+[[nodiscard]] std::optional<std::uint64_t> ParseHexId(
+  std::string_view aText) noexcept;
+
 } // namespace guavaline
--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -54,9 +54,9 @@
   std::optional<TimePoint> mLapsesAt;
   /// Set once it left, drains, or another process answers at its address.
   bool mLeft = false;
-  /// The last run whose connection it broke, until a call tells a crash from
-  /// a lost answer.
-  std::optional<BrokenRun> mBroken;
+  /// Late runs whose connections broke; one of them may have crashed it.
+  std::vector<BrokenRun> mBroken;
+  bool mProbed = false; ///< It is being asked whether it still listens.
   TargetLoad mLoad;
   RateLimit mLimit;
 };
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -1,5 +1,7 @@
 #include <guavaline/core/hash.hpp>
 
+#include <charconv>
+
 #include <xxhash.h>
 
 #include <array>
@@ -26,4 +28,16 @@
   return buf.data();
 }
 
+std::optional<std::uint64_t> ParseHexId(std::string_view aText) noexcept
+{
+  constexpr int kHexBase = 16;
+  std::uint64_t out = 0;
+  const auto* end = aText.data() + aText.size();
+  const auto read = std::from_chars(aText.data(), end, out, kHexBase);
+  if (read.ec != std::errc{} || read.ptr != end) {
+    return std::nullopt;
+  }
+  return out;
+}
+
 } // namespace guavaline
--- a/src/crashers/crashers.cpp
+++ b/src/crashers/crashers.cpp
@@ -1,72 +1,194 @@
 #include <guavaline/crashers/crashers.hpp>
 
+#include <algorithm>
+
 namespace guavaline {
 namespace {
 
 constexpr std::uint32_t kCrashesToRefuse = 2;
+/// Crashes kept of one request.
+constexpr std::size_t kMaxCrashes = 8;
+/// Word of a crash that comes later than a good run's is still older than it.
+constexpr Millis kServedMemory{ 30'000 };
+/// Word from other entries makes an event look younger, by the time that it
+/// took on its way.
+constexpr Millis kNewsDelay{ 2'000 };
+/// Crashes this young are told again with heartbeats, since the first word
+/// may have been lost.
+constexpr Millis kFresh{ 10'000 };
 
-CrasherTable::Record* Touch(CrasherTable& aTable, std::uint64_t aDigest,
-                            TimePoint aNow)
+CrasherTable::Record* Touch(CrasherTable& aTable, std::uint64_t aDigest)
 {
-  const bool known = aTable.mRecords.count(aDigest) > 0;
-  if (!known && aTable.mRecords.size() >= aTable.mMaxRecords) {
+  const auto it = aTable.mRecords.find(aDigest);
+  if (it != aTable.mRecords.end()) {
+    return &it->second;
+  }
+  if (aTable.mRecords.size() >= aTable.mMaxRecords) {
     return nullptr;
   }
-  auto& record = aTable.mRecords[aDigest];
-  record.mForget = aNow + aTable.mMemory;
-  return &record;
+  return &aTable.mRecords[aDigest];
+}
+
+/// @returns crashes none of which came during the run of another
+std::uint32_t CountSeparate(const std::vector<Crash>& aCrashes) noexcept
+{
+  std::uint32_t out = 0;
+  TimePoint last{};
+  for (const auto& it : aCrashes) {
+    if (out == 0 || it.mStarted >= last) {
+      ++out;
+      last = it.mCrashed;
+    }
+  }
+  return out;
+}
+
+bool IsRefused(const CrasherTable::Record& aRecord, TimePoint aNow) noexcept
+{
+  return (aRecord.mSeparate >= kCrashesToRefuse || aRecord.mRefusedByPeer) &&
+         aNow < aRecord.mForget;
 }
 
 } // namespace
 
-void NoteCrash(CrasherTable& aTable, std::uint64_t aDigest, TimePoint aStarted,
-               TimePoint aNow)
+bool NoteCrash(CrasherTable& aTable, const Crash& aCrash, TimePoint aNow)
 {
-  auto* record = Touch(aTable, aDigest, aNow);
+  auto* record = Touch(aTable, aCrash.mDigest);
   if (record == nullptr) {
-    return;
+    return false;
   }
-  if (record->mCrashes == 0 || aStarted >= record->mLastCrash) {
-    ++record->mCrashes;
-    record->mLastCrash = aNow;
+  auto& crashes = record->mCrashes;
+  const bool known =
+    std::any_of(crashes.begin(), crashes.end(),
+                [&](const Crash& a) { return a.mLife == aCrash.mLife; });
+  const bool cleared = record->mServed != TimePoint{} &&
+                       aCrash.mCrashed <= record->mServed + kNewsDelay;
+  const auto forget = aCrash.mCrashed + aTable.mMemory;
+  if (known || cleared || crashes.size() >= kMaxCrashes || forget <= aNow) {
+    return false;
   }
+  const auto at = std::upper_bound(
+    crashes.begin(), crashes.end(), aCrash,
+    [](const Crash& a, const Crash& b) { return a.mCrashed < b.mCrashed; });
+  crashes.insert(at, aCrash);
+  record->mSeparate = CountSeparate(crashes);
+  record->mForget = std::max(record->mForget, forget);
+  return true;
 }
 
-bool NoteServed(CrasherTable& aTable, std::uint64_t aDigest)
+bool NoteServed(CrasherTable& aTable, const ServedRun& aRun)
 {
-  return aTable.mRecords.erase(aDigest) > 0;
+  const auto it = aTable.mRecords.find(aRun.mDigest);
+  if (it == aTable.mRecords.end()) {
+    return false;
+  }
+  auto& record = it->second;
+  const auto cleared = std::erase_if(
+    record.mCrashes, [&](const Crash& a) { return a.mCrashed <= aRun.mEnded; });
+  if (cleared == 0 && !record.mRefusedByPeer) {
+    return false;
+  }
+  record.mServed = std::max(record.mServed, aRun.mEnded);
+  record.mRefusedByPeer = false;
+  record.mSeparate = CountSeparate(record.mCrashes);
+  if (record.mCrashes.empty()) {
+    record.mForget = aRun.mEnded + kServedMemory;
+  }
+  return true;
 }
 
 void NoteRefusedByPeer(CrasherTable& aTable, std::uint64_t aDigest,
                        TimePoint aNow)
 {
-  if (IsCrasher(aTable, aDigest, aNow)) {
-    // Heard before: the first word sets when it is forgotten, or peers would
-    // remind each other for ever.
-    return;
+  auto* record = Touch(aTable, aDigest);
+  // Heard before: the first word sets when it is forgotten, or peers would
+  // remind each other for ever.
+  const bool cleared = record != nullptr && record->mServed != TimePoint{};
+  if (record != nullptr && !cleared && !IsRefused(*record, aNow)) {
+    record->mRefusedByPeer = true;
+    record->mForget = aNow + aTable.mMemory;
+  }
+}
+
+CrashEvidence HearEvidence(CrasherTable& aTable, const CrashEvidence& aHeard,
+                           TimePoint aNow)
+{
+  CrashEvidence out;
+  for (const auto& it : aHeard.mServed) {
+    if (NoteServed(aTable, it)) {
+      out.mServed.push_back(it);
+    }
   }
-  if (auto* record = Touch(aTable, aDigest, aNow)) {
-    record->mCrashes = kCrashesToRefuse;
+  for (const auto& it : aHeard.mCrashes) {
+    if (NoteCrash(aTable, it, aNow)) {
+      out.mCrashes.push_back(it);
+    }
   }
+  return out;
 }
 
 bool IsCrasher(const CrasherTable& aTable, std::uint64_t aDigest,
                TimePoint aNow) noexcept
 {
   const auto it = aTable.mRecords.find(aDigest);
-  return it != aTable.mRecords.end() &&
-         it->second.mCrashes >= kCrashesToRefuse && aNow < it->second.mForget;
+  return it != aTable.mRecords.end() && IsRefused(it->second, aNow);
+}
+
+Millis RefusedFor(const CrasherTable& aTable, std::uint64_t aDigest,
+                  TimePoint aNow) noexcept
+{
+  const auto it = aTable.mRecords.find(aDigest);
+  return it != aTable.mRecords.end() && IsRefused(it->second, aNow)
+           ? std::chrono::duration_cast<Millis>(it->second.mForget - aNow)
+           : Millis(0);
 }
 
-std::vector<std::uint64_t> ListCrashers(const CrasherTable& aTable,
-                                        TimePoint aNow, std::size_t aMost)
+std::vector<std::uint64_t> ListCrashers(CrasherTable& aTable, TimePoint aNow,
+                                        std::size_t aMost)
 {
   std::vector<std::uint64_t> out;
-  for (const auto& it : aTable.mRecords) {
-    if (out.size() < aMost && IsCrasher(aTable, it.first, aNow)) {
-      out.push_back(it.first);
+  auto it = aTable.mRecords.upper_bound(aTable.mLastListed);
+  for (std::size_t n = 0; n < aTable.mRecords.size() && out.size() < aMost;
+       ++n) {
+    if (it == aTable.mRecords.end()) {
+      it = aTable.mRecords.begin();
+    }
+    if (IsRefused(it->second, aNow)) {
+      out.push_back(it->first);
+    }
+    aTable.mLastListed = it->first;
+    ++it;
+  }
+  return out;
+}
+
+CrashEvidence EvidenceOf(const CrasherTable& aTable,
+                         const std::vector<std::uint64_t>& aDigests,
+                         TimePoint aNow, std::size_t aMost)
+{
+  CrashEvidence out;
+  std::vector<Crash> latest;
+  for (const auto& [digest, record] : aTable.mRecords) {
+    if (record.mServed != TimePoint{} && aNow - record.mServed <= kFresh) {
+      out.mServed.push_back({ digest, record.mServed });
+    }
+    const bool asked =
+      std::find(aDigests.begin(), aDigests.end(), digest) != aDigests.end();
+    for (const auto& it : record.mCrashes) {
+      if (asked) {
+        out.mCrashes.push_back(it);
+      } else if (aNow - it.mCrashed <= kFresh) {
+        latest.push_back(it);
+      }
     }
   }
+  const auto newer = [](const Crash& a, const Crash& b) {
+    return a.mCrashed > b.mCrashed;
+  };
+  std::sort(latest.begin(), latest.end(), newer);
+  latest.resize(std::min(latest.size(), aMost));
+  out.mCrashes.insert(out.mCrashes.end(), latest.begin(), latest.end());
+  out.mServed.resize(std::min(out.mServed.size(), aMost));
   return out;
 }
 
--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -11,8 +11,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <charconv>
-
 namespace guavaline::detail {
 
 namespace asio = boost::asio;
@@ -21,7 +19,6 @@
 
 constexpr Millis kHeartbeatTimeout{ 1'000 };
 constexpr std::size_t kMaxCrashersInHeartbeat = 8;
-constexpr int kHexBase = 16;
 
 Heartbeat NextHeartbeat(Node& aNode)
 {
@@ -38,10 +35,8 @@
   const auto now = Clock::now();
   TakeHeartbeat(aNode.mView, aHeartbeat, now);
   for (const auto& it : aHeartbeat.mCrashers) {
-    std::uint64_t digest = 0;
-    const auto* end = it.data() + it.size();
-    if (std::from_chars(it.data(), end, digest, kHexBase).ptr == end) {
-      NoteRefusedByPeer(aNode.mCrashers, digest, now);
+    if (const auto digest = ParseHexId(it)) {
+      NoteRefusedByPeer(aNode.mCrashers, *digest, now);
     }
   }
 }
--- /dev/null
+++ b/src/entry/crashes.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+/// Finds out which requests crash targets: remembers runs that broke with
+/// their targets, and tells crashed targets from those that lost an answer.
+
+#include "entry/entry.hpp"
+
+namespace guavaline::detail {
+
+/// Notes a run that ended with its connection. Where the target takes no
+/// connections now, it has crashed.
+void NoteBrokenRun(Entry& aEntry, const TargetPtr& aTarget,
+                   const BrokenRun& aRun, TimePoint aNow);
+
+/// Notes that a target refused a connection. Runs that broke with it lately
+/// count as crashes.
+void NoteRefusedConnection(Entry& aEntry, LiveTarget& aTarget, TimePoint aNow);
+
+/// Notes the lives that a new registration shows to have ended.
+void NoteNewLife(Entry& aEntry, const Registration& aRegistration,
+                 TimePoint aNow);
+
+/// Notes a run that ended well.
+/// @returns true where its request had been suspect
+bool NoteGoodRun(Entry& aEntry, std::uint64_t aDigest, TimePoint aNow);
+
+/// Drops broken runs that nothing showed to be crashes.
+void ForgetBrokenRuns(Entry& aEntry, TimePoint aNow);
+
+} // namespace guavaline::detail
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -1,7 +1,7 @@
 /// Keeps views of the store's objects: a listing, then watches. While the
 /// store cannot be reached the last accepted view stays in force.
 
-#include "entry/entry.hpp"
+#include "entry/crashes.hpp"
 #include "entry/limits.hpp"
 
 #include <algorithm>
@@ -86,6 +86,7 @@
   if (aChange.mRemoved) {
     change = TakeRemoval(aEntry.mRegistry, aChange.mName, aNow);
   } else if (const auto target = aEntry.mPlatform.mReadTarget(aChange)) {
+    NoteNewLife(aEntry, *target, aNow);
     change = TakeRegistration(aEntry.mRegistry, *target, aNow);
   } else {
     // Another writer's object, or one that cannot be read: nothing to use.
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -252,7 +252,9 @@
   }
   SetKeys(aEntry, state);
   if (IsCrasher(aEntry.mCrashers, state.mDigest, now)) {
-    co_return finish(Reject(aEntry, state, kRetryAfterUnready, "crashes"),
+    co_return finish(Reject(aEntry, state,
+                            RefusedFor(aEntry.mCrashers, state.mDigest, now),
+                            "crashes"),
                      "crashes_targets");
   }
   state.mService = PickService(
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -1,6 +1,6 @@
 /// Start, stop and upkeep of an entry host.
 
-#include "entry/entry.hpp"
+#include "entry/crashes.hpp"
 #include "entry/limits.hpp"
 #include "entry/rate_limits.hpp"
 
@@ -122,6 +122,7 @@
     const auto now = Clock::now();
     ForgetLapsed(aEntry.mRegistry, now);
     ForgetOldCrashes(aEntry.mCrashers, now);
+    ForgetBrokenRuns(aEntry, now);
     NoteLiveEntries(aEntry, now);
     ServeByLoad(aEntry, now);
     ShareLimits(aEntry, now);
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -1,5 +1,6 @@
 /// One exchange with a target, and what it teaches.
 
+#include "entry/crashes.hpp"
 #include "entry/rate_limits.hpp"
 #include "entry/request_state.hpp"
 
@@ -22,8 +23,6 @@
 /// that the target has dropped unseen would leave the outcome unknown.
 constexpr Millis kReuseOnce{ 4'000 };
 constexpr Millis kReuseIdempotent{ 9'000 };
-/// A target that takes no connections this soon after it broke one crashed.
-constexpr Millis kCrashSeen{ 3'000 };
 /// Runs of targets that are this much slower than expected teach nothing of a
 /// route.
 constexpr double kSlowRun = 1.5;
@@ -136,7 +135,7 @@
   }
   NoteAnswer(aTarget.mLoad, inTarget, choice.mWait + choice.mRun, aNow);
   NoteServed(aEntry.mWarm, WarmId(aState.mKey, aTarget.mLife), aNow);
-  if (NoteServed(aEntry.mCrashers, aState.mDigest)) {
+  if (NoteGoodRun(aEntry, aState.mDigest, aNow)) {
     LogBounded(LogClass::Failure, LogLevel::Info, "crash_record_cleared",
                { { "request", aState.mId },
                  { "digest", HexId(aState.mDigest) },
@@ -145,28 +144,19 @@
   }
 }
 
-/// Tells a target that crashed from one whose answer was lost: the crashed one
-/// takes no connections afterwards. The request that it ran last is suspect.
-void NoteBreak(Entry& aEntry, const RequestState& aState, LiveTarget& aTarget,
+/// Notes what tells a target that crashed from one whose answer was lost.
+void NoteBreak(Entry& aEntry, const RequestState& aState,
                const ExchangeResult& aResult, TimePoint aStarted,
                TimePoint aNow)
 {
-  if (aResult.mMayHaveReached && !aResult.mTimedOut) {
-    aTarget.mBroken = BrokenRun{ aState.mDigest, aStarted, aNow };
+  if (aResult.mTimedOut) {
     return;
   }
-  if (!aResult.mConnectFailed || aResult.mTimedOut || !aTarget.mBroken) {
-    return;
-  }
-  const auto run = *aTarget.mBroken;
-  aTarget.mBroken.reset();
-  if (aNow - run.mBroke < kCrashSeen) {
-    NoteCrash(aEntry.mCrashers, run.mDigest, run.mStarted, run.mBroke);
-    Log(LogLevel::Warning, "target_crashed",
-        { { "target", aTarget.mRegistration.mId },
-          { "digest", HexId(run.mDigest) } });
-    aEntry.mMetrics.Count("target_crashes",
-                          "service=\"" + aTarget.mRegistration.mService + "\"");
+  const auto& target = aState.mChoice.mTarget;
+  if (aResult.mMayHaveReached) {
+    NoteBrokenRun(aEntry, target, { aState.mDigest, aStarted, aNow }, aNow);
+  } else if (aResult.mConnectFailed) {
+    NoteRefusedConnection(aEntry, *target, aNow);
   }
 }
 
@@ -190,7 +180,7 @@
   } else if (!aResult.mTimedOut) {
     NoteFailed(aTarget.mLoad, aNow);
   }
-  NoteBreak(aEntry, aState, aTarget, aResult, aStarted, aNow);
+  NoteBreak(aEntry, aState, aResult, aStarted, aNow);
   LogBounded(LogClass::Failure, LogLevel::Warning, "exchange_failed",
              { { "request", aState.mId },
                { "target", aTarget.mRegistration.mId },
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -3,6 +3,8 @@
 #include "daemon/log.hpp"
 #include "forwarding/forward.hpp"
 
+#include <guavaline/core/hash.hpp>
+
 #include <array>
 
 namespace guavaline::detail {
@@ -98,7 +100,7 @@
     const auto time = std::chrono::duration_cast<Millis>(now - aStarted);
     NoteSuccess(health, time, now);
     NoteServiceTime(state, aCall.mClass.mName, time);
-    NoteServed(aNode.mCrashers, aCall.mDigest);
+    NoteServed(aNode.mCrashers, { aCall.mDigest, now });
     if (!FindHeader(aResult.mResponse->mHeaders, kTargetLeavingHeader)
            .empty()) {
       NoteSaidLeaving(health);
@@ -111,7 +113,11 @@
   }
   const bool broke = aResult.mMayHaveReached && !aResult.mTimedOut;
   if (broke) {
-    NoteCrash(aNode.mCrashers, aCall.mDigest, aStarted, now);
+    // Each break counts as an end of the target's life.
+    const auto life =
+      HashPair(Hash(aHold.Held().mName),
+               static_cast<std::uint64_t>(aStarted.time_since_epoch().count()));
+    NoteCrash(aNode.mCrashers, { aCall.mDigest, life, aStarted, now }, now);
   }
   Log(LogLevel::Warning, "exchange_failed",
       { { "service", aCall.mService },
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -12,6 +12,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <charconv>
 #include <map>
 
@@ -475,6 +476,29 @@
   co_return result;
 }
 
+asio::awaitable<ExchangeResult> HttpClient::OpenSpare(Endpoint aEndpoint,
+                                                      ExchangeOptions aOptions)
+{
+  ExchangeResult out;
+  const auto pool = mPool;
+  auto connection = co_await Connect(mExecutor, aEndpoint, aOptions, out);
+  if (connection) {
+    connection->mStream.expires_never();
+    connection->mProven = Clock::now();
+    pool->Keep(aEndpoint, std::move(connection));
+  }
+  co_return out;
+}
+
+bool HttpClient::HasOpen(const Endpoint& aEndpoint) const
+{
+  const auto it = mPool->mIdle.find(HttpPoolState::Key(aEndpoint));
+  return it != mPool->mIdle.end() &&
+         std::any_of(
+           it->second.begin(), it->second.end(),
+           [](PooledConnection& a) { return StillQuiet(a.mStream.socket()); });
+}
+
 void HttpClient::SetMostBuffered(std::uint64_t aBytes)
 {
   mPool->mMaxBuffered = aBytes;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -76,6 +76,13 @@
   [[nodiscard]] boost::asio::awaitable<ExchangeResult> Exchange(
     Endpoint aEndpoint, HttpRequest aRequest, ExchangeOptions aOptions);
 
+  /// Opens a connection and keeps it for a later exchange.
+  /// @returns a result without a response
+  [[nodiscard]] boost::asio::awaitable<ExchangeResult> OpenSpare(
+    Endpoint aEndpoint, ExchangeOptions aOptions);
+  /// @returns true where a kept connection to a peer is still open
+  [[nodiscard]] bool HasOpen(const Endpoint& aEndpoint) const;
+
   /// Closes kept connections to one peer.
   void Forget(const Endpoint& aEndpoint);
   /// Closes connections that have been idle longer than their peer keeps them.
