Add up the crashes of a request over all entries

Callers saw: a request under which three targets had ended was sent on, and ended more. Cause: entries counted alone and told each other only of requests that one of them had counted twice; with 48 entries and a request that no entry gets twice nobody ever did. Heartbeats told of 8 digests in hash order, so that a ninth was never told.

Entries now tell the crashes themselves, with the life of the target and the ages of run and crash, and runs that ended well of requests that were suspect. Word goes within 200 ms to the live entries of the region and to one of each other region, which passes it on; heartbeats repeat crashes of the last 10 s and, in turn, those of all requests that are refused, so that an entry that starts learns them. One life counts once; late word does not undo a good run.

Class of fault: a bound over all entries, kept by each alone. Heartbeats of earlier builds are read as before; those builds refuse heartbeats that carry crashes, which are sent only while there are any.

--- a/include/guavaline/roster/roster.hpp
+++ b/include/guavaline/roster/roster.hpp
@@ -99,6 +99,11 @@
 [[nodiscard]] std::vector<EntryRecord> LivePeers(const Roster& aRoster,
                                                  TimePoint aNow);
 
+/// @returns one entry of each other region
+/// @param aDraw  picks which
+[[nodiscard]] std::vector<EntryRecord> OneOfEachRegion(const Roster& aRoster,
+                                                       std::uint64_t aDraw);
+
 /// @returns names of the live entries of the own region, itself included
 [[nodiscard]] std::vector<std::string> LiveInRegion(const Roster& aRoster,
                                                     TimePoint aNow);
--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -1,6 +1,6 @@
 #include "entry/crashes.hpp"
 
-#include "daemon/log.hpp"
+#include "entry/messages.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -21,6 +21,7 @@
 constexpr Millis kRestartSeen{ 10'000 };
 constexpr Millis kProbeTimeout{ 700 };
 constexpr std::size_t kMaxBroken = 16;
+constexpr std::size_t kMaxNews = 64;
 
 void ForgetOldRuns(LiveTarget& aTarget, Millis aKeep, TimePoint aNow)
 {
@@ -58,6 +59,7 @@
     if (!NoteCrash(aEntry.mCrashers, crash, aNow)) {
       continue;
     }
+    aEntry.mUntoldCrashes.mCrashes.push_back(crash);
     LogBounded(
       LogClass::Failure, LogLevel::Warning, "target_crashed",
       { { "target", aTarget.mRegistration.mId },
@@ -123,7 +125,11 @@
 bool NoteGoodRun(Entry& aEntry, std::uint64_t aDigest, TimePoint aNow)
 {
   const ServedRun run{ aDigest, aNow };
-  return NoteServed(aEntry.mCrashers, run);
+  const bool suspect = NoteServed(aEntry.mCrashers, run);
+  if (suspect) {
+    aEntry.mUntoldCrashes.mServed.push_back(run);
+  }
+  return suspect;
 }
 
 void ForgetBrokenRuns(Entry& aEntry, TimePoint aNow)
@@ -134,4 +140,22 @@
   });
 }
 
+void TellCrashes(Entry& aEntry)
+{
+  auto& untold = aEntry.mUntoldCrashes;
+  if (untold.mCrashes.empty() && untold.mServed.empty()) {
+    return;
+  }
+  CrashEvidence news;
+  const auto move = [](auto& aFrom, auto& aTo) {
+    const auto n =
+      static_cast<std::ptrdiff_t>(std::min(aFrom.size(), kMaxNews));
+    aTo.assign(aFrom.begin(), aFrom.begin() + n);
+    aFrom.erase(aFrom.begin(), aFrom.begin() + n);
+  };
+  move(untold.mCrashes, news.mCrashes);
+  move(untold.mServed, news.mServed);
+  PushCrashNews(aEntry, news, true);
+}
+
 } // namespace guavaline::detail
--- a/src/entry/crashes.hpp
+++ b/src/entry/crashes.hpp
@@ -27,4 +27,7 @@
 /// Drops broken runs that nothing showed to be crashes.
 void ForgetBrokenRuns(Entry& aEntry, TimePoint aNow);
 
+/// Tells others of what this entry has seen since the last call.
+void TellCrashes(Entry& aEntry);
+
 } // namespace guavaline::detail
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -67,6 +67,7 @@
   std::map<std::string, RouteRecord> mRoutes;  ///< By route.
   std::map<std::string, RetryBudget> mRetries; ///< By service.
   CrasherTable mCrashers;
+  CrashEvidence mUntoldCrashes;          ///< Not told to other entries yet.
   std::vector<TargetPtr> mBrokenTargets; ///< Those that broke runs lately.
   Metrics mMetrics;
 
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include <charconv>
+#include <algorithm>
 #include <cmath>
 #include <unordered_map>
 #include <utility>
@@ -22,7 +22,6 @@
 constexpr Millis kRecordRetry{ 500 };
 constexpr Millis kRecordCheck{ 3'000 };
 constexpr std::size_t kMaxCrashersInHeartbeat = 8;
-constexpr int kHexBase = 16;
 /// Weight of the requests of one heartbeat period in the rate.
 constexpr double kRateWeight = 0.5;
 /// Leaves 40 of the 63 bits of an incarnation.
@@ -34,16 +33,45 @@
   EntryHeartbeat out;
   out.mRegion = PackNews(TellNews(aEntry.mRoster, now));
   out.mViews = TellViews(aEntry, now);
-  for (const auto it :
-       ListCrashers(aEntry.mCrashers, now, kMaxCrashersInHeartbeat)) {
+  const auto crashers =
+    ListCrashers(aEntry.mCrashers, now, kMaxCrashersInHeartbeat);
+  for (const auto it : crashers) {
     out.mCrashers.push_back(HexId(it));
   }
+  const auto crashes =
+    EvidenceOf(aEntry.mCrashers, crashers, now, kMaxCrashersInHeartbeat);
+  if (!crashes.mCrashes.empty() || !crashes.mServed.empty()) {
+    out.mCrashes = PackCrashes(crashes, now);
+  }
   if (auto limits = TellLimits(aEntry, now); !limits.empty()) {
     out.mLimits = std::move(limits);
   }
   return ToJson(out);
 }
 
+/// Takes in which requests a peer refuses.
+void HearCrashers(Entry& aEntry, const EntryHeartbeat& aHeartbeat,
+                  TimePoint aNow)
+{
+  const auto evidence = aHeartbeat.mCrashes
+                          ? UnpackCrashes(*aHeartbeat.mCrashes, aNow)
+                          : std::nullopt;
+  if (evidence) {
+    HearEvidence(aEntry.mCrashers, *evidence, aNow);
+  }
+  for (const auto& it : aHeartbeat.mCrashers) {
+    const auto digest = ParseHexId(it);
+    const bool shown =
+      evidence &&
+      std::any_of(evidence->mCrashes.begin(), evidence->mCrashes.end(),
+                  [&](const Crash& a) { return a.mDigest == digest; });
+    // Entries of earlier builds tell no more than the digest.
+    if (digest && !shown) {
+      NoteRefusedByPeer(aEntry.mCrashers, *digest, aNow);
+    }
+  }
+}
+
 /// Takes in a heartbeat.
 /// @returns the kinds of which the peer's view goes further; nothing where
 ///          the heartbeat cannot be read
@@ -60,13 +88,7 @@
   }
   const auto now = Clock::now();
   HearNews(aEntry.mRoster, *news, now);
-  for (const auto& it : heartbeat.mCrashers) {
-    std::uint64_t digest = 0;
-    const auto* end = it.data() + it.size();
-    if (std::from_chars(it.data(), end, digest, kHexBase).ptr == end) {
-      NoteRefusedByPeer(aEntry.mCrashers, digest, now);
-    }
-  }
+  HearCrashers(aEntry, heartbeat, now);
   HearLimits(aEntry, heartbeat.mLimits.value_or(std::vector<LimitNews>()), now);
   return HearViews(aEntry, heartbeat.mViews, now);
 }
@@ -196,6 +218,10 @@
     TakeWarmNews(aEntry, aBody);
     co_return std::string("{}");
   }
+  if (aKind == kCrashKind) {
+    TakeCrashNews(aEntry, aBody);
+    co_return std::string("{}");
+  }
   if (aKind == kLimitKind) {
     TakeLimitNews(aEntry, aBody);
     co_return std::string("{}");
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -3,6 +3,7 @@
 /// Messages between entry hosts.
 
 #include "codec/described.hpp"
+#include "entry/crashes.hpp"
 #include "entry/entry.hpp"
 #include "entry/rate_limits.hpp"
 
@@ -15,6 +16,7 @@
 inline constexpr const char* kPushKind = "entry-view-news";
 inline constexpr const char* kWarmKind = "entry-warm-news";
 inline constexpr const char* kLimitKind = "entry-limit-news";
+inline constexpr const char* kCrashKind = "entry-crash-news";
 
 /// Objects that targets lately served, by WarmId.
 struct WarmNews
@@ -28,6 +30,24 @@
   std::vector<LimitNews> mLimits;
 };
 
+/// What entries saw of requests that targets crashed under. Times are ages.
+struct CrashNews
+{
+  std::vector<std::string> mDigests; ///< By HexId, as all ids here.
+  std::vector<std::string> mLives;
+  std::vector<Millis> mStarted;
+  std::vector<Millis> mCrashed;
+  std::vector<std::string> mServed; ///< Digests of requests that ran well.
+  std::vector<Millis> mServedAges;
+};
+
+/// Tells an entry of crashes.
+struct CrashMessage
+{
+  CrashNews mNews;
+  bool mPassOn = false; ///< To the entries of the receiver's region.
+};
+
 /// How far a view goes, and how long ago the store confirmed it.
 struct ViewNews
 {
@@ -53,6 +73,7 @@
   std::vector<std::string> mCrashers; ///< Digests of requests that crash.
   std::vector<ViewNews> mViews;
   std::optional<std::vector<LimitNews>> mLimits; ///< Left out where empty.
+  std::optional<CrashNews> mCrashes;             ///< Left out where empty.
 };
 
 /// Asks for the changes of a view after a revision.
@@ -78,7 +99,12 @@
 BOOST_DESCRIBE_STRUCT(LimitMessage, (), (mLimits))
 BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge))
 BOOST_DESCRIBE_STRUCT(RegionNews, (), (mEntries, mCounters, mRates, mLeaving))
-BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (), (mRegion, mCrashers, mViews, mLimits))
+BOOST_DESCRIBE_STRUCT(CrashNews, (),
+                      (mDigests, mLives, mStarted, mCrashed, mServed,
+                       mServedAges))
+BOOST_DESCRIBE_STRUCT(CrashMessage, (), (mNews, mPassOn))
+BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (),
+                      (mRegion, mCrashers, mViews, mLimits, mCrashes))
 BOOST_DESCRIBE_STRUCT(ViewQuestion, (), (mKind, mFrom))
 BOOST_DESCRIBE_STRUCT(ViewMessage, (),
                       (mView, mFrom, mWhole, mNames, mSpecs, mRevisions))
@@ -119,6 +145,22 @@
 /// Takes in what targets said to a peer of their limits.
 void TakeLimitNews(Entry& aEntry, const std::string& aBody);
 
+/// Writes evidence for a message.
+[[nodiscard]] CrashNews PackCrashes(const CrashEvidence& aEvidence,
+                                    TimePoint aNow);
+
+/// @returns what a peer tells of crashes; nothing where it is malformed
+[[nodiscard]] std::optional<CrashEvidence> UnpackCrashes(const CrashNews& aNews,
+                                                         TimePoint aNow);
+
+/// Tells the entries of the own region of crashes, and one of each other
+/// region, which passes it on there.
+void PushCrashNews(Entry& aEntry, const CrashEvidence& aEvidence,
+                   bool aToOtherRegions);
+
+/// Takes in what a peer saw of crashes.
+void TakeCrashNews(Entry& aEntry, const std::string& aBody);
+
 /// Takes in which objects a peer had served.
 void TakeWarmNews(Entry& aEntry, const std::string& aBody);
 
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -2,6 +2,8 @@
 
 #include "entry/messages.hpp"
 
+#include <guavaline/core/hash.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -203,6 +205,85 @@
   }
 }
 
+CrashNews PackCrashes(const CrashEvidence& aEvidence, TimePoint aNow)
+{
+  const auto age = [aNow](TimePoint a) {
+    return std::chrono::duration_cast<Millis>(aNow - a);
+  };
+  CrashNews out;
+  for (const auto& it : aEvidence.mCrashes) {
+    out.mDigests.push_back(HexId(it.mDigest));
+    out.mLives.push_back(HexId(it.mLife));
+    out.mStarted.push_back(age(it.mStarted));
+    out.mCrashed.push_back(age(it.mCrashed));
+  }
+  for (const auto& it : aEvidence.mServed) {
+    out.mServed.push_back(HexId(it.mDigest));
+    out.mServedAges.push_back(age(it.mEnded));
+  }
+  return out;
+}
+
+std::optional<CrashEvidence> UnpackCrashes(const CrashNews& aNews,
+                                           TimePoint aNow)
+{
+  const auto n = aNews.mDigests.size();
+  if (aNews.mLives.size() != n || aNews.mStarted.size() != n ||
+      aNews.mCrashed.size() != n ||
+      aNews.mServedAges.size() != aNews.mServed.size()) {
+    return std::nullopt;
+  }
+  CrashEvidence out;
+  for (std::size_t k = 0; k < n; ++k) {
+    const auto digest = ParseHexId(aNews.mDigests[k]);
+    const auto life = ParseHexId(aNews.mLives[k]);
+    if (!digest || !life) {
+      return std::nullopt;
+    }
+    out.mCrashes.push_back(
+      { *digest, *life, aNow - aNews.mStarted[k], aNow - aNews.mCrashed[k] });
+  }
+  for (std::size_t k = 0; k < aNews.mServed.size(); ++k) {
+    const auto digest = ParseHexId(aNews.mServed[k]);
+    if (!digest) {
+      return std::nullopt;
+    }
+    out.mServed.push_back({ *digest, aNow - aNews.mServedAges[k] });
+  }
+  return out;
+}
+
+void PushCrashNews(Entry& aEntry, const CrashEvidence& aEvidence,
+                   bool aToOtherRegions)
+{
+  const auto now = Clock::now();
+  CrashMessage message{ PackCrashes(aEvidence, now), false };
+  PushToAll(aEntry, LivePeers(aEntry.mRoster, now), kCrashKind,
+            ToJson(message));
+  if (aToOtherRegions) {
+    message.mPassOn = true;
+    PushToAll(aEntry, OneOfEachRegion(aEntry.mRoster, aEntry.mRandom()),
+              kCrashKind, ToJson(message));
+  }
+}
+
+void TakeCrashNews(Entry& aEntry, const std::string& aBody)
+{
+  CrashMessage message;
+  if (!FromJson(aBody, message).empty()) {
+    return;
+  }
+  const auto now = Clock::now();
+  const auto evidence = UnpackCrashes(message.mNews, now);
+  if (!evidence) {
+    return;
+  }
+  const auto fresh = HearEvidence(aEntry.mCrashers, *evidence, now);
+  if (message.mPassOn && (!fresh.mCrashes.empty() || !fresh.mServed.empty())) {
+    PushCrashNews(aEntry, fresh, false);
+  }
+}
+
 void TakeWarmNews(Entry& aEntry, const std::string& aBody)
 {
   WarmNews news;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -128,6 +128,7 @@
     ShareLimits(aEntry, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
+    TellCrashes(aEntry);
     aEntry.mTargetClient.DropExpired(now);
     if (now - logged >= kSummaryLogPeriod) {
       LogSplits(aEntry);
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -105,6 +105,22 @@
   return out;
 }
 
+std::vector<EntryRecord> OneOfEachRegion(const Roster& aRoster,
+                                         std::uint64_t aDraw)
+{
+  std::map<std::string, std::vector<const EntryRecord*>> regions;
+  for (const auto& [name, entry] : aRoster.mOthers) {
+    if (!InOwnRegion(aRoster, entry) && !entry.mLeaving) {
+      regions[entry.mRecord.mRegion].push_back(&entry.mRecord);
+    }
+  }
+  std::vector<EntryRecord> out;
+  for (const auto& [region, entries] : regions) {
+    out.push_back(*entries[aDraw % entries.size()]);
+  }
+  return out;
+}
+
 std::vector<std::string> LiveInRegion(const Roster& aRoster, TimePoint aNow)
 {
   std::vector<std::string> out{ aRoster.mSelf.mName };
--- a/tests/unit/crash_sharing_test.cpp
+++ b/tests/unit/crash_sharing_test.cpp
@@ -46,6 +46,7 @@
         TakeRecord(it->mRoster, other->mRoster.mSelf, Clock::now());
       }
       Spawn(ExchangeHeartbeats(*it));
+      Spawn(TellOthers(*it));
     }
     for (std::size_t n = 0; n < aTargets; ++n) {
       AddTarget(n);
@@ -88,6 +89,14 @@
     asio::co_spawn(mContext, std::move(aTask), asio::detached);
   }
 
+  static asio::awaitable<void> TellOthers(Entry& aEntry)
+  {
+    while (true) {
+      co_await Pause(aEntry, 200ms);
+      TellCrashes(aEntry);
+    }
+  }
+
   void AddEntry(std::size_t aIndex, RequestKind aKind)
   {
     auto settings = tests::EntrySettingsOf("e" + std::to_string(aIndex));
@@ -220,6 +229,14 @@
   }
 }
 
+EntryRecord RecordIn(const std::string& aName, const std::string& aRegion)
+{
+  EntryRecord out;
+  out.mName = aName;
+  out.mRegion = aRegion;
+  return out;
+}
+
 } // namespace
 
 // Guards against entries that each count a request's crashes alone: each saw
@@ -236,3 +253,49 @@
 {
   CrashThrough(32, RequestKind::Idempotent, 120ms);
 }
+
+// Guards against crashes of which only the entries of one region hear.
+Test(crash_sharing, each_other_region_is_told_through_one_of_its_entries)
+{
+  Roster roster;
+  roster.mSelf = RecordIn("e1", "r1");
+  for (const auto* name : { "e2", "e3" }) {
+    TakeRecord(roster, RecordIn(name, "r1"), Clock::now());
+  }
+  for (const auto* name : { "f1", "f2", "f3" }) {
+    TakeRecord(roster, RecordIn(name, "r2"), Clock::now());
+  }
+  TakeRecord(roster, RecordIn("g1", "r3"), Clock::now());
+  for (std::uint64_t draw = 0; draw < 7; ++draw) {
+    const auto told = OneOfEachRegion(roster, draw);
+    cr_assert_eq(told.size(), 2U);
+    cr_assert_eq(told[0].mRegion, "r2");
+    cr_assert_eq(told[1].mRegion, "r3");
+  }
+}
+
+Test(crash_sharing, evidence_survives_its_short_form)
+{
+  const auto now = Clock::now();
+  const CrashEvidence evidence{
+    { { 0xfedcba9876543210ULL, 0xffffffffffffffffULL, now - 3s, now - 2s } },
+    { { 7, now - 1s } }
+  };
+  CrashMessage message;
+  cr_assert(
+    FromJson(ToJson(CrashMessage{ PackCrashes(evidence, now), true }), message)
+      .empty());
+  cr_assert(message.mPassOn);
+  const auto heard = UnpackCrashes(message.mNews, now);
+  cr_assert(heard);
+  cr_assert_eq(heard->mCrashes.size(), 1U);
+  cr_assert_eq(heard->mCrashes[0].mDigest, 0xfedcba9876543210ULL);
+  cr_assert_eq(heard->mCrashes[0].mLife, 0xffffffffffffffffULL);
+  cr_assert(heard->mCrashes[0].mStarted == now - 3s);
+  cr_assert(heard->mCrashes[0].mCrashed == now - 2s);
+  cr_assert_eq(heard->mServed.size(), 1U);
+  message.mNews.mLives = { "not hexadecimal" };
+  cr_assert_not(UnpackCrashes(message.mNews, now));
+  message.mNews.mLives.clear();
+  cr_assert_not(UnpackCrashes(message.mNews, now));
+}
