--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -37,6 +37,9 @@
   StoreStatus mStatus = StoreStatus::Unavailable;
   bool mHistoryGone = false; ///< A watch must start anew from a listing.
   bool mMore = false;        ///< A listing goes on behind the last name.
+  /// Rises each time the store comes back from an older copy of itself, after
+  /// which it gives revisions out again; 0 where it is not told.
+  std::uint64_t mEpoch = 0;
   std::uint64_t mRevision = 0;
   std::vector<ObjectChange> mChanges;
   Error mError; ///< Set where the status is not Ok.
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -178,12 +178,14 @@
   std::vector<ObjectChange> all;
   std::string after;
   std::uint64_t revision = 0;
+  std::uint64_t epoch = 0;
   while (true) {
     auto reply = co_await aEntry.mPlatform.mList(aKind, after);
     NoteReply(aEntry, aKind, "list", reply, Clock::now());
     if (reply.mStatus != StoreStatus::Ok) {
       co_return false;
     }
+    epoch = reply.mEpoch;
     // Changes between pages come again with the watch.
     revision =
       revision == 0 ? reply.mRevision : std::min(revision, reply.mRevision);
@@ -210,6 +212,8 @@
       { { "kind", KindName(aKind) },
         { "objects", std::to_string(all.size()) },
         { "changes", std::to_string(changes.size()) },
+        { "dropped", !first && revision < from ? "yes" : "no" },
+        { "epoch", std::to_string(epoch) },
         { "revision", std::to_string(revision) } });
   co_return true;
 }
