--- a/testing/standin/platform_store.cpp
+++ b/testing/standin/platform_store.cpp
@@ -34,7 +34,7 @@
            { "status", nullptr } };
 }
 
-HttpResponse Answer(unsigned aStatus, const json::object& aBody)
+HttpResponse AnswerWith(unsigned aStatus, const json::object& aBody)
 {
   return JsonResponse(aStatus, json::serialize(aBody));
 }
@@ -90,6 +90,13 @@
   }
 }
 
+bool PlatformStore::Has(const std::string& aKind,
+                        const std::string& aName) const
+{
+  const auto it = mObjects.find(aKind);
+  return it != mObjects.end() && it->second.count(aName) > 0;
+}
+
 void PlatformStore::SetFaults(const PlatformStoreFaults& aFaults)
 {
   mFaults = aFaults;
@@ -104,6 +111,23 @@
   mHistoryFrom = mRevision;
 }
 
+void PlatformStore::KeepCopy()
+{
+  mCopy = { mRevision, mObjects };
+}
+
+void PlatformStore::Restore()
+{
+  mRevision = mCopy.mRevision;
+  mObjects = mCopy.mObjects;
+  std::erase_if(mHistory,
+                [this](const Change& a) { return a.mRevision > mRevision; });
+  ++mEra;
+  for (const auto& it : mWatches) {
+    it->cancel();
+  }
+}
+
 json::array PlatformStore::EventsSince(const std::string& aKind,
                                        std::uint64_t aFrom) const
 {
@@ -134,7 +158,7 @@
         ToObject(it->first, it->second.mRevision, it->second.mSpec));
     }
   }
-  return Answer(
+  return AnswerWith(
     200,
     { { "items", std::move(items) }, { "more", more }, { "at", mRevision } });
 }
@@ -150,12 +174,13 @@
 PlatformStore::Reply PlatformStore::Watch(std::string aKind,
                                           std::uint64_t aFrom, Millis aWait)
 {
-  if (aFrom >= mHistoryFrom && EventsSince(aKind, aFrom).empty()) {
+  const auto held = [&] { return aFrom >= mHistoryFrom && aFrom <= mRevision; };
+  if (held() && EventsSince(aKind, aFrom).empty()) {
     const auto end = Clock::now() + aWait;
     auto timer = std::make_shared<asio::steady_timer>(mContext);
     mWatches.insert(timer);
     boost::system::error_code ec;
-    while (Clock::now() < end && EventsSince(aKind, aFrom).empty() &&
+    while (Clock::now() < end && held() && EventsSince(aKind, aFrom).empty() &&
            !mFaults.mBusy) {
       timer->expires_at(end);
       co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ec));
@@ -166,12 +191,12 @@
     co_await Wait(kNever);
   }
   if (mFaults.mBusy) {
-    co_return Answer(503, {});
+    co_return AnswerWith(503, {});
   }
-  if (aFrom < mHistoryFrom) {
-    co_return Answer(410, {});
+  if (!held()) {
+    co_return AnswerWith(410, {});
   }
-  co_return Answer(
+  co_return AnswerWith(
     200, { { "events", EventsSince(aKind, aFrom) }, { "at", mRevision } });
 }
 
@@ -183,40 +208,47 @@
   if (aRequest.mMethod == "DELETE") {
     const auto it = objects.find(aName);
     if (it == objects.end()) {
-      return Answer(404, {});
+      return AnswerWith(404, {});
     }
     const auto revision = NumberIn(aRequest, "rev");
     if (revision != 0 && revision != it->second.mRevision) {
-      return Answer(409,
-                    ToObject(aName, it->second.mRevision, it->second.mSpec));
+      return AnswerWith(
+        409, ToObject(aName, it->second.mRevision, it->second.mSpec));
     }
     Remove(aKind, aName);
-    return Answer(200, {});
+    return AnswerWith(200, {});
   }
   json::error_code ec;
   const auto body = json::parse(aRequest.mBody, ec);
   const auto* object = ec ? nullptr : body.if_object();
   const auto* spec = object == nullptr ? nullptr : object->if_contains("spec");
   if (spec == nullptr) {
-    return Answer(400, {});
+    return AnswerWith(400, {});
   }
   std::string name = aName;
   if (aRequest.mMethod == "POST") {
     name = object->at("metadata").at("name").as_string();
     if (const auto it = objects.find(name); it != objects.end()) {
-      return Answer(409,
-                    ToObject(name, it->second.mRevision, it->second.mSpec));
+      return AnswerWith(409,
+                        ToObject(name, it->second.mRevision, it->second.mSpec));
     }
   }
   Put(aKind, name, *spec);
-  return Answer(200, ToObject(name, objects[name].mRevision, *spec));
+  return AnswerWith(200, ToObject(name, objects[name].mRevision, *spec));
 }
 
 PlatformStore::Reply PlatformStore::Handle(HttpRequest aRequest)
+{
+  auto out = co_await Answer(std::move(aRequest));
+  out.mHeaders.push_back({ "Store-Era", std::to_string(mEra) });
+  co_return out;
+}
+
+PlatformStore::Reply PlatformStore::Answer(HttpRequest aRequest)
 {
   std::string path(detail::PathOf(aRequest.mTarget));
   if (path.compare(0, kPrefix.size(), kPrefix) != 0) {
-    co_return Answer(404, {});
+    co_return AnswerWith(404, {});
   }
   path = path.substr(kPrefix.size());
   const auto slash = path.find('/');
@@ -227,7 +259,7 @@
     co_await Wait(kNever);
   }
   if (mFaults.mBusy) {
-    co_return Answer(503, {});
+    co_return AnswerWith(503, {});
   }
   if (aRequest.mMethod != "GET") {
     auto out = Write(aRequest, kind, name);
--- a/testing/standin/platform_store.hpp
+++ b/testing/standin/platform_store.hpp
@@ -40,9 +40,16 @@
   void Put(const std::string& aKind, const std::string& aName,
            boost::json::value aSpec);
   void Remove(const std::string& aKind, const std::string& aName);
+  [[nodiscard]] bool Has(const std::string& aKind,
+                         const std::string& aName) const;
   void SetFaults(const PlatformStoreFaults& aFaults);
   /// Forgets what changed: watches must start anew from a listing.
   void DropHistory();
+  /// Keeps a copy of everything for Restore.
+  void KeepCopy();
+  /// Comes back from the copy. What was written since is gone, and revisions
+  /// after it are given out again.
+  void Restore();
 
 private:
   struct Object
@@ -58,9 +65,16 @@
     bool mDeleted = false;
     boost::json::value mSpec;
   };
+  using Objects = std::map<std::string, std::map<std::string, Object>>;
+  struct Copy
+  {
+    std::uint64_t mRevision = 0;
+    Objects mObjects;
+  };
   using Reply = boost::asio::awaitable<detail::HttpResponse>;
 
   Reply Handle(detail::HttpRequest aRequest);
+  Reply Answer(detail::HttpRequest aRequest);
   Reply Watch(std::string aKind, std::uint64_t aFrom, Millis aWait);
   detail::HttpResponse List(const std::string& aKind,
                             const std::string& aAfter) const;
@@ -78,7 +92,9 @@
   PlatformStoreFaults mFaults;
   std::uint64_t mRevision = 100;
   std::uint64_t mHistoryFrom = 100; ///< Changes after it are all held.
-  std::map<std::string, std::map<std::string, Object>> mObjects;
+  std::uint64_t mEra = 1;           ///< Rises with each Restore.
+  Objects mObjects;
+  Copy mCopy;
   std::deque<Change> mHistory;
   std::set<std::shared_ptr<boost::asio::steady_timer>> mWatches;
 };
--- a/tests/unit/crash_sharing_test.cpp
+++ b/tests/unit/crash_sharing_test.cpp
@@ -45,7 +45,7 @@
       for (const auto& other : mEntries) {
         TakeRecord(it->mRoster, other->mRoster.mSelf, Clock::now());
       }
-      Spawn(ExchangeHeartbeats(*it));
+      tests::StartPeering(mContext, *it);
       Spawn(TellOthers(*it));
     }
     for (std::size_t n = 0; n < aTargets; ++n) {
@@ -108,14 +108,6 @@
     auto& route = entry->mRouting.mRoutes[0];
     route.mPathPrefix = "/";
     route.mTimeout = Millis(0);
-    auto& e = *entry;
-    const auto problem = e.mPeerServer.Listen(
-      mContext, kAddress, settings.mPeers.mPort, e.mRoster.mSelf.mPeerKey,
-      [&e](std::string aWhat, std::string aBody) {
-        return AnswerEntry(e, std::move(aWhat), std::move(aBody));
-      },
-      [](const std::string&) { return true; });
-    cr_assert(problem.empty(), "%s", problem.c_str());
     mEntries.push_back(std::move(entry));
   }
 
--- a/tests/unit/entry_fixtures.cpp
+++ b/tests/unit/entry_fixtures.cpp
@@ -3,6 +3,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <criterion/criterion.h>
+
 namespace guavaline::tests {
 
 namespace asio = boost::asio;
@@ -55,6 +57,19 @@
   return out;
 }
 
+void StartPeering(asio::io_context& aContext, detail::Entry& aEntry)
+{
+  const auto problem = aEntry.mPeerServer.Listen(
+    aContext, aEntry.mSettings.mPeers.mAddress, aEntry.mSettings.mPeers.mPort,
+    aEntry.mRoster.mSelf.mPeerKey,
+    [&aEntry](std::string aKind, std::string aBody) {
+      return AnswerEntry(aEntry, std::move(aKind), std::move(aBody));
+    },
+    [](const std::string&) { return true; });
+  cr_assert(problem.empty(), "%s", problem.c_str());
+  asio::co_spawn(aContext, ExchangeHeartbeats(aEntry), asio::detached);
+}
+
 detail::HttpResponse Forward(asio::io_context& aContext, detail::Entry& aEntry,
                              detail::HttpRequest aRequest)
 {
--- a/tests/unit/entry_fixtures.hpp
+++ b/tests/unit/entry_fixtures.hpp
@@ -19,6 +19,9 @@
 Registration TargetAt(const std::string& aId, const std::string& aAddress,
                       const char* aService = "service");
 
+/// Lets an entry hear other entries, and exchange heartbeats with them.
+void StartPeering(boost::asio::io_context& aContext, detail::Entry& aEntry);
+
 /// Forwards a request and waits for the answer.
 detail::HttpResponse Forward(boost::asio::io_context& aContext,
                              detail::Entry& aEntry,
