Tell the histories of a restored store apart by its epoch

Cause: revisions stood for time. A listing of the copy has a smaller revision than the view, was taken for a late answer and dropped, while the view was confirmed; numbers given out again stood for other content, in watches, pushes, pulls and heartbeats.

Each view now has the epoch beside its revision, in messages between entries too (left out in the first epoch, so that earlier builds understand them until a store is restored). An answer or a peer of a later epoch sends each entry to the store for a listing; one of an earlier epoch neither changes nor confirms anything. That listing is compared with what is believed: what the store had said before, at an earlier state that this entry saw, is doubted for 6 s or until it is written again, so that targets and entries that had left, older lives, lost evacuations and those taken back do not return. What is new counts at once. Missing targets get the two seconds after a return; an entry whose own record is lost writes it again.

Class of fault: an order that holds only within one history, used across two.

--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -38,8 +38,8 @@
   bool mHistoryGone = false; ///< A watch must start anew from a listing.
   bool mMore = false;        ///< A listing goes on behind the last name.
   /// Rises each time the store comes back from an older copy of itself, after
-  /// which it gives revisions out again; 0 where it is not told.
-  std::uint64_t mEpoch = 0;
+  /// which it gives revisions out again. Nothing without an answer.
+  std::optional<std::uint64_t> mEpoch;
   std::uint64_t mRevision = 0;
   std::vector<ObjectChange> mChanges;
   Error mError; ///< Set where the status is not Ok.
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -59,7 +59,9 @@
   std::set<std::string> mLiveEntries; ///< Of the region, as last logged.
   std::map<ObjectKind, FollowState> mFollows;
   StoreAccess mStoreAccess; ///< By calls of all kinds.
-  TimePoint mViewsOld{};    ///< When views were last too old to rely on.
+  /// The latest epoch that the store or another entry told of.
+  std::uint64_t mStoreEpoch = kFirstEpoch;
+  TimePoint mViewsOld{}; ///< When views were last too old to rely on.
   RoundTrips mTrips;
   WarmTable mWarm;
   RegionShare mRegionShare;
@@ -123,6 +125,12 @@
 void ApplyChanges(Entry& aEntry, ObjectKind aKind,
                   const std::vector<ObjectChange>& aChanges, TimePoint aNow);
 
+/// Notes the store's epoch; views of earlier ones are listed anew.
+void NoteEpoch(Entry& aEntry, std::uint64_t aEpoch, const char* aSource);
+
+/// Takes in what a restored store says and was doubted for its time.
+void SettleViews(Entry& aEntry, TimePoint aNow);
+
 /// Tells the entries of the region what the store said: the changes, if any,
 /// and that the view was current.
 void PushChanges(Entry& aEntry, ObjectKind aKind, std::uint64_t aFrom,
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -20,6 +20,10 @@
 /// start, and after a start of all of them nobody can be heard without.
 constexpr Millis kEntriesBound{ 3'000 };
 
+/// The records of targets that have ended go after three of their heartbeats;
+/// operators and targets have written again by then.
+constexpr Millis kDoubtTime{ 6'000 };
+
 FollowTimes TimesFor(const Entry& aEntry, ObjectKind aKind)
 {
   const auto& bounds = aEntry.mSettings.mBounds;
@@ -113,6 +117,15 @@
   }
 }
 
+/// Notes a record under the own name that an earlier life wrote.
+void CheckOwnRecord(Entry& aEntry, const EntryRecord& aRecord)
+{
+  const auto& self = aEntry.mRoster.mSelf;
+  aEntry.mRecordWritten =
+    aEntry.mRecordWritten &&
+    (aRecord.mName != self.mName || aRecord.mIncarnation == self.mIncarnation);
+}
+
 void TakeEntry(Entry& aEntry, const ObjectChange& aChange, TimePoint aNow)
 {
   if (aChange.mRemoved) {
@@ -122,12 +135,13 @@
       aEntry.mRecordWritten && aChange.mName != aEntry.mSettings.mName;
   } else if (const auto record = aEntry.mPlatform.mReadEntry(aChange)) {
     TakeRecord(aEntry.mRoster, *record, aNow);
+    CheckOwnRecord(aEntry, *record);
   } else {
     Log(LogLevel::Warning, "entry_record_unreadable",
         { { "entry", aChange.mName } });
     return;
   }
-  aEntry.mDisturbed = aNow;
+  aEntry.mDisturbed = std::max(aEntry.mDisturbed, aNow);
   Log(LogLevel::Info, "entry_record_changed",
       { { "entry", aChange.mName },
         { "removed", aChange.mRemoved ? "yes" : "no" } });
@@ -156,6 +170,7 @@
                                          KindName(aKind) + "\",call=\"" +
                                          aCall + "\"");
   const bool worked = aReply.mStatus == StoreStatus::Ok || aReply.mHistoryGone;
+  NoteEpoch(aEntry, aReply.mEpoch.value_or(kFirstEpoch), "store");
   // Of whatever kind the first call is that works, it ends the outage.
   if (InOutage(aEntry.mStoreAccess, aNow)) {
     NoteRegistryTrouble(aEntry.mRegistry, aNow);
@@ -171,38 +186,109 @@
   }
 }
 
+/// A whole listing of one kind.
+struct Listing
+{
+  std::vector<ObjectChange> mObjects;
+  std::uint64_t mEpoch = kFirstEpoch;
+  std::uint64_t mRevision = 0;
+};
+
 /// Lists all objects of a kind, page by page.
-/// @returns true where the view is whole
-asio::awaitable<bool> ListAll(Entry& aEntry, ObjectKind aKind)
+/// @returns nothing where that failed
+asio::awaitable<std::optional<Listing>> ListPages(Entry& aEntry,
+                                                  ObjectKind aKind)
 {
-  std::vector<ObjectChange> all;
+  Listing out;
   std::string after;
-  std::uint64_t revision = 0;
-  std::uint64_t epoch = 0;
-  while (true) {
+  for (bool first = true;; first = false) {
     auto reply = co_await aEntry.mPlatform.mList(aKind, after);
     NoteReply(aEntry, aKind, "list", reply, Clock::now());
-    if (reply.mStatus != StoreStatus::Ok) {
-      co_return false;
+    const auto epoch = reply.mEpoch.value_or(kFirstEpoch);
+    if (reply.mStatus != StoreStatus::Ok || (!first && epoch != out.mEpoch)) {
+      co_return std::nullopt;
     }
-    epoch = reply.mEpoch;
+    out.mEpoch = epoch;
     // Changes between pages come again with the watch.
-    revision =
-      revision == 0 ? reply.mRevision : std::min(revision, reply.mRevision);
+    out.mRevision =
+      first ? reply.mRevision : std::min(out.mRevision, reply.mRevision);
     for (auto& it : reply.mChanges) {
       after = it.mName;
-      all.push_back(std::move(it));
+      out.mObjects.push_back(std::move(it));
     }
     if (!reply.mMore || reply.mChanges.empty()) {
-      break;
+      co_return out;
     }
   }
+}
+
+/// A store that was restored may have lost this entry's record.
+void FindOwnRecord(Entry& aEntry, const Listing& aListing)
+{
+  const auto& self = aEntry.mRoster.mSelf;
+  const auto own =
+    std::find_if(aListing.mObjects.begin(), aListing.mObjects.end(),
+                 [&](const ObjectChange& a) { return a.mName == self.mName; });
+  const auto record = own == aListing.mObjects.end()
+                        ? std::nullopt
+                        : aEntry.mPlatform.mReadEntry(*own);
+  aEntry.mRecordWritten = aEntry.mRecordWritten && record &&
+                          record->mIncarnation == self.mIncarnation;
+}
+
+DoubtTimes DoubtTimesFor(ObjectKind aKind)
+{
+  // Targets that are missing have a grace period of their own.
+  return { kDoubtTime, aKind == ObjectKind::Targets ? Millis(0) : kDoubtTime };
+}
+
+/// Takes in the first listing of a later epoch.
+std::vector<ObjectChange> TakeLaterEpoch(Entry& aEntry, ObjectKind aKind,
+                                         const Listing& aListing,
+                                         TimePoint aNow)
+{
+  auto& view = aEntry.mFollows[aKind].mView;
+  const auto before = view.mRevision;
+  auto changes = TakeRestored(view, aListing.mObjects, aListing.mEpoch,
+                              aListing.mRevision, DoubtTimesFor(aKind), aNow);
+  if (aKind == ObjectKind::Targets) {
+    NoteRegistryTrouble(aEntry.mRegistry, aNow);
+  }
+  if (aKind == ObjectKind::Entries) {
+    FindOwnRecord(aEntry, aListing);
+  }
+  Log(LogLevel::Warning, "store_restored",
+      { { "kind", KindName(aKind) },
+        { "epoch", std::to_string(aListing.mEpoch) },
+        { "revision", std::to_string(aListing.mRevision) },
+        { "before", std::to_string(before) },
+        { "changes", std::to_string(changes.size()) },
+        { "doubted", std::to_string(view.mDoubts.size()) } });
+  return changes;
+}
+
+/// Lists all objects of a kind.
+/// @returns true where the view is whole
+asio::awaitable<bool> ListAll(Entry& aEntry, ObjectKind aKind)
+{
+  const auto listing = co_await ListPages(aEntry, aKind);
   auto& view = aEntry.mFollows[aKind].mView;
+  if (!listing || (view.mListed && listing->mEpoch < view.mEpoch)) {
+    co_return false;
+  }
   const auto now = Clock::now();
   const bool first = !view.mListed;
-  const auto from = view.mRevision;
-  const auto changes = TakeListing(view, all, revision);
-  Confirm(view, now);
+  const bool restored = !first && listing->mEpoch > view.mEpoch;
+  const bool dropped =
+    !first && !restored && listing->mRevision < view.mRevision;
+  const auto from = restored ? listing->mRevision : view.mRevision;
+  const auto changes =
+    restored ? TakeLaterEpoch(aEntry, aKind, *listing, now)
+             : TakeListing(view, listing->mObjects, listing->mRevision);
+  view.mEpoch = listing->mEpoch;
+  if (!dropped) {
+    Confirm(view, now);
+  }
   aEntry.mFollows[aKind].mBehind = false;
   ApplyChanges(aEntry, aKind, changes, now);
   if (!first) {
@@ -210,11 +296,11 @@
   }
   Log(LogLevel::Info, "view_listed",
       { { "kind", KindName(aKind) },
-        { "objects", std::to_string(all.size()) },
+        { "objects", std::to_string(listing->mObjects.size()) },
         { "changes", std::to_string(changes.size()) },
-        { "dropped", !first && revision < from ? "yes" : "no" },
-        { "epoch", std::to_string(epoch) },
-        { "revision", std::to_string(revision) } });
+        { "dropped", dropped ? "yes" : "no" },
+        { "epoch", std::to_string(listing->mEpoch) },
+        { "revision", std::to_string(listing->mRevision) } });
   co_return true;
 }
 
@@ -226,6 +312,10 @@
   auto reply = co_await aEntry.mPlatform.mWatch(aKind, view.mRevision, aWait);
   const auto now = Clock::now();
   NoteReply(aEntry, aKind, "watch", reply, now);
+  if (reply.mEpoch && *reply.mEpoch != view.mEpoch) {
+    // The answer goes on from a revision of another history.
+    co_return false;
+  }
   if (reply.mStatus == StoreStatus::Ok) {
     const auto from = view.mRevision;
     const auto changes = TakeChanges(view, reply.mChanges, reply.mRevision);
@@ -237,12 +327,19 @@
   co_return !reply.mHistoryGone;
 }
 
+/// True where the store was restored since the view was listed.
+bool IsOutdated(Entry& aEntry, ObjectKind aKind)
+{
+  const auto& view = aEntry.mFollows[aKind].mView;
+  return view.mListed && view.mEpoch < aEntry.mStoreEpoch;
+}
+
 bool MayListen(Entry& aEntry, ObjectKind aKind, TimePoint aNow)
 {
   const auto& state = aEntry.mFollows[aKind];
   const bool watches =
     IsWatcher(aEntry.mSettings.mName, LiveInRegion(aEntry.mRoster, aNow));
-  return state.mView.mListed && !state.mBehind &&
+  return state.mView.mListed && !state.mBehind && !IsOutdated(aEntry, aKind) &&
          HearsEnough(state.mAccess, TimesFor(aEntry, aKind),
                      state.mView.mConfirmed, watches, aNow);
 }
@@ -289,6 +386,34 @@
   }
 }
 
+void NoteEpoch(Entry& aEntry, std::uint64_t aEpoch, const char* aSource)
+{
+  if (aEpoch <= aEntry.mStoreEpoch) {
+    return;
+  }
+  Log(LogLevel::Warning, "store_epoch",
+      { { "epoch", std::to_string(aEpoch) },
+        { "before", std::to_string(aEntry.mStoreEpoch) },
+        { "source", aSource } });
+  aEntry.mStoreEpoch = aEpoch;
+}
+
+void SettleViews(Entry& aEntry, TimePoint aNow)
+{
+  for (auto& [kind, state] : aEntry.mFollows) {
+    const auto changes = SettleDoubts(state.mView, aNow);
+    if (changes.empty()) {
+      continue;
+    }
+    Log(LogLevel::Info, "doubts_settled",
+        { { "kind", KindName(kind) },
+          { "changes", std::to_string(changes.size()) } });
+    // A record that nobody wrote again says nothing of a living entry.
+    ApplyChanges(aEntry, kind, changes,
+                 kind == ObjectKind::Entries ? aNow - kEntrySilence : aNow);
+  }
+}
+
 asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind)
 {
   auto& access = aEntry.mFollows[aKind].mAccess;
@@ -298,7 +423,7 @@
       co_await Pause(aEntry, kAgeCheck);
       continue;
     }
-    if (!listed) {
+    if (!listed || IsOutdated(aEntry, aKind)) {
       listed = co_await ListAll(aEntry, aKind);
     } else {
       listed = co_await WatchOnce(aEntry, aKind,
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -54,6 +54,7 @@
   ObjectKind mKind = ObjectKind::Routing;
   std::uint64_t mRevision = 0;
   Millis mAge{ 0 };
+  std::optional<std::uint64_t> mEpoch; ///< Left out in the first one.
 };
 
 /// News of the entries of a region. An item is some ten bytes long: each
@@ -81,6 +82,7 @@
 {
   ObjectKind mKind = ObjectKind::Routing;
   std::uint64_t mFrom = 0;
+  std::optional<std::uint64_t> mEpoch; ///< Left out in the first one.
 };
 
 /// Changes of a view after one revision up to another.
@@ -97,7 +99,7 @@
 BOOST_DESCRIBE_STRUCT(WarmNews, (), (mServed))
 BOOST_DESCRIBE_STRUCT(LimitNews, (), (mTarget, mStarted, mPerSecond, mAge))
 BOOST_DESCRIBE_STRUCT(LimitMessage, (), (mLimits))
-BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge))
+BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge, mEpoch))
 BOOST_DESCRIBE_STRUCT(RegionNews, (), (mEntries, mCounters, mRates, mLeaving))
 BOOST_DESCRIBE_STRUCT(CrashNews, (),
                       (mDigests, mLives, mStarted, mCrashed, mServed,
@@ -105,7 +107,7 @@
 BOOST_DESCRIBE_STRUCT(CrashMessage, (), (mNews, mPassOn))
 BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (),
                       (mRegion, mCrashers, mViews, mLimits, mCrashes))
-BOOST_DESCRIBE_STRUCT(ViewQuestion, (), (mKind, mFrom))
+BOOST_DESCRIBE_STRUCT(ViewQuestion, (), (mKind, mFrom, mEpoch))
 BOOST_DESCRIBE_STRUCT(ViewMessage, (),
                       (mView, mFrom, mWhole, mNames, mSpecs, mRevisions))
 
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -22,10 +22,28 @@
 /// Ages above this are told as this.
 constexpr Millis kMaxAge{ 600'000 };
 
+/// @returns an epoch as messages carry it
+std::optional<std::uint64_t> TellEpoch(const ObjectView& aView)
+{
+  return aView.mEpoch == kFirstEpoch ? std::nullopt
+                                     : std::optional(aView.mEpoch);
+}
+
+/// @returns true where a peer's revisions compare with those of a view. A
+///          later epoch is noted, so that the view is listed anew.
+bool IsSameEpoch(Entry& aEntry, const ObjectView& aView,
+                 const std::optional<std::uint64_t>& aTold)
+{
+  const auto epoch = aTold.value_or(kFirstEpoch);
+  NoteEpoch(aEntry, epoch, "entry");
+  return epoch == aView.mEpoch;
+}
+
 ViewNews NewsOf(ObjectKind aKind, const ObjectView& aView, TimePoint aNow)
 {
   const auto age = std::chrono::duration_cast<Millis>(aNow - aView.mConfirmed);
-  return { aKind, aView.mRevision, std::clamp(age, Millis(0), kMaxAge) };
+  return { aKind, aView.mRevision, std::clamp(age, Millis(0), kMaxAge),
+           TellEpoch(aView) };
 }
 
 ViewMessage MakeMessage(ObjectKind aKind, const ObjectView& aView,
@@ -56,6 +74,9 @@
 {
   auto& state = aEntry.mFollows[aMessage.mView.mKind];
   auto& view = state.mView;
+  if (!IsSameEpoch(aEntry, view, aMessage.mView.mEpoch)) {
+    return;
+  }
   const bool joins = aMessage.mWhole && view.mRevision >= aMessage.mFrom;
   if (!joins && aMessage.mView.mRevision > view.mRevision) {
     state.mBehind = true;
@@ -120,7 +141,7 @@
   std::vector<ObjectKind> out;
   for (const auto& it : aViews) {
     auto& view = aEntry.mFollows[it.mKind].mView;
-    if (!view.mListed) {
+    if (!IsSameEpoch(aEntry, view, it.mEpoch) || !view.mListed) {
       continue;
     }
     if (it.mRevision > view.mRevision) {
@@ -139,7 +160,8 @@
   if (!endpoint) {
     co_return;
   }
-  const ViewQuestion question{ aKind, aEntry.mFollows[aKind].mView.mRevision };
+  const auto& view = aEntry.mFollows[aKind].mView;
+  const ViewQuestion question{ aKind, view.mRevision, TellEpoch(view) };
   const std::string body = ToJson(question);
   const auto reply = co_await aEntry.mPeers.Call(*endpoint, kPullKind, body,
                                                  kCallTimeout, aPeer.mPeerKey);
@@ -157,6 +179,9 @@
     return ToJson(message);
   }
   const auto& view = aEntry.mFollows[question.mKind].mView;
+  if (!IsSameEpoch(aEntry, view, question.mEpoch)) {
+    return ToJson(message);
+  }
   if (const auto changes = ChangesSince(view, question.mFrom)) {
     message = MakeMessage(question.mKind, view, question.mFrom, *changes);
   }
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -120,6 +120,7 @@
   while (true) {
     co_await Pause(aEntry, kUpkeepPeriod);
     const auto now = Clock::now();
+    SettleViews(aEntry, now);
     ForgetLapsed(aEntry.mRegistry, now);
     ForgetOldCrashes(aEntry.mCrashers, now);
     ForgetBrokenRuns(aEntry, now);
--- a/src/views/object_view.cpp
+++ b/src/views/object_view.cpp
@@ -15,6 +15,10 @@
 /// a store may turn some entries away and serve the others.
 constexpr std::ptrdiff_t kProbers = 3;
 
+/// States kept from before changes: more than the writes of the seconds that a
+/// restored store may lose.
+constexpr std::size_t kMaxPast = 4'096;
+
 /// @returns how many entries come before this one in the agreed order
 std::ptrdiff_t CountAbove(const std::string& aSelf,
                           const std::vector<std::string>& aLive)
@@ -34,6 +38,55 @@
   }
 }
 
+/// Keeps what an object was before a change.
+void NotePast(ObjectView& aView, const std::string& aName)
+{
+  const auto it = aView.mObjects.find(aName);
+  PastState past{ aName, 0, 0 };
+  if (it != aView.mObjects.end()) {
+    past.mRevision = it->second.mRevision;
+    past.mSpecHash = Hash(it->second.mSpec);
+  }
+  aView.mPast.push_back(std::move(past));
+  if (aView.mPast.size() > kMaxPast) {
+    aView.mPast.pop_front();
+  }
+}
+
+/// @returns true where an object was once as it is said to be now
+bool IsPast(const ObjectView& aView, const std::string& aName,
+            const ObjectChange* aSaid)
+{
+  const auto revision = aSaid == nullptr ? 0 : aSaid->mRevision;
+  const auto spec = aSaid == nullptr ? 0 : Hash(aSaid->mSpec);
+  return std::any_of(
+    aView.mPast.begin(), aView.mPast.end(), [&](const PastState& a) {
+      return a.mName == aName && a.mRevision == revision && a.mSpecHash == spec;
+    });
+}
+
+/// @returns what is believed of all objects, doubts included
+std::map<std::string, ObjectChange> Believed(const ObjectView& aView)
+{
+  auto out = aView.mObjects;
+  for (const auto& [name, doubt] : aView.mDoubts) {
+    if (doubt.mBelieved) {
+      out[name] = *doubt.mBelieved;
+    } else {
+      out.erase(name);
+    }
+  }
+  return out;
+}
+
+/// @returns an object of a map, or null
+const ObjectChange* Find(const std::map<std::string, ObjectChange>& aObjects,
+                         const std::string& aName)
+{
+  const auto it = aObjects.find(aName);
+  return it == aObjects.end() ? nullptr : &it->second;
+}
+
 /// @returns true where the change was new
 bool TakeOne(ObjectView& aView, const ObjectChange& aChange)
 {
@@ -43,6 +96,8 @@
         it->second.mRevision > aChange.mRevision) {
       return false;
     }
+    NotePast(aView, aChange.mName);
+    aView.mDoubts.erase(aChange.mName);
     aView.mObjects.erase(it);
     NoteRemoval(aView, aChange);
     return true;
@@ -50,6 +105,10 @@
   if (it != aView.mObjects.end() && it->second.mRevision >= aChange.mRevision) {
     return false;
   }
+  if (aView.mListed) {
+    NotePast(aView, aChange.mName);
+  }
+  aView.mDoubts.erase(aChange.mName);
   aView.mObjects[aChange.mName] = aChange;
   return true;
 }
@@ -104,6 +163,69 @@
   return out;
 }
 
+std::vector<ObjectChange> TakeRestored(ObjectView& aView,
+                                       const std::vector<ObjectChange>& aAll,
+                                       std::uint64_t aEpoch,
+                                       std::uint64_t aRevision,
+                                       const DoubtTimes& aTimes, TimePoint aNow)
+{
+  std::vector<ObjectChange> out;
+  const auto believed = Believed(aView);
+  std::map<std::string, ObjectChange> said;
+  std::set<std::string> names;
+  for (const auto& it : aAll) {
+    said[it.mName] = it;
+    names.insert(it.mName);
+  }
+  for (const auto& it : believed) {
+    names.insert(it.first);
+  }
+  std::map<std::string, Doubt> doubts;
+  for (const auto& name : names) {
+    const auto* now = Find(said, name);
+    const auto* before = Find(believed, name);
+    if (now != nullptr && before != nullptr && now->mSpec == before->mSpec) {
+      continue;
+    }
+    const auto time = now == nullptr ? aTimes.mAbsent : aTimes.mPresent;
+    if (time.count() > 0 && IsPast(aView, name, now)) {
+      auto& doubt = doubts[name];
+      doubt.mUntil = aNow + time;
+      if (before != nullptr) {
+        doubt.mBelieved = *before;
+      }
+      continue;
+    }
+    NotePast(aView, name);
+    out.push_back(now != nullptr ? *now
+                                 : ObjectChange{ name, aRevision, true, {} });
+  }
+  aView.mEpoch = aEpoch;
+  aView.mRevision = aRevision;
+  aView.mObjects = std::move(said);
+  aView.mDoubts = std::move(doubts);
+  aView.mRemovals.clear();
+  aView.mRemovalsFrom = aRevision;
+  return out;
+}
+
+std::vector<ObjectChange> SettleDoubts(ObjectView& aView, TimePoint aNow)
+{
+  std::vector<ObjectChange> out;
+  for (auto it = aView.mDoubts.begin(); it != aView.mDoubts.end();) {
+    if (aNow < it->second.mUntil) {
+      ++it;
+      continue;
+    }
+    const auto* said = Find(aView.mObjects, it->first);
+    out.push_back(said != nullptr
+                    ? *said
+                    : ObjectChange{ it->first, aView.mRevision, true, {} });
+    it = aView.mDoubts.erase(it);
+  }
+  return out;
+}
+
 std::optional<std::vector<ObjectChange>> ChangesSince(const ObjectView& aView,
                                                       std::uint64_t aRevision)
 {
--- a/tests/unit/object_view_test.cpp
+++ b/tests/unit/object_view_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 using namespace guavaline;
 using namespace std::chrono_literals;
 
@@ -24,6 +26,19 @@
   return out;
 }
 
+const TimePoint kNow{ 1000s };
+constexpr DoubtTimes kDoubts{ 6s, 6s };
+
+/// @returns the names that are believed to exist
+std::set<std::string> Names(const std::vector<ObjectChange>& aChanges)
+{
+  std::set<std::string> out;
+  for (const auto& it : aChanges) {
+    out.insert(it.mName);
+  }
+  return out;
+}
+
 } // namespace
 
 Test(object_view, a_listing_removes_what_it_does_not_name)
@@ -104,3 +119,60 @@
   // Some more look for a store that was lost.
   cr_assert_eq(probers, 3);
 }
+
+// A store that comes back from an older copy says what it had said before: an
+// object that has gone since, one that has changed, and nothing of a new one.
+Test(object_view, what_a_restored_store_had_said_before_is_doubted)
+{
+  auto view = MakeView();
+  TakeChanges(
+    view,
+    { Removal("a", 11), { "b", 12, false, R"({"new":1})" }, Put("c", 13) }, 13);
+  const auto changes =
+    TakeRestored(view, { Put("a", 3), Put("b", 5) }, 2, 10, kDoubts, kNow);
+  cr_assert(changes.empty());
+  cr_assert_eq(view.mEpoch, 2U);
+  cr_assert_eq(view.mRevision, 10U);
+  cr_assert_eq(view.mDoubts.size(), 3U);
+  cr_assert(SettleDoubts(view, kNow + 5s).empty());
+  // What is written again counts at once, under a number seen before.
+  const auto written = TakeChanges(view, { Put("c", 11) }, 11);
+  cr_assert(Names(written) == std::set<std::string>{ "c" });
+  const auto settled = SettleDoubts(view, kNow + 6s);
+  cr_assert((Names(settled) == std::set<std::string>{ "a", "b" }));
+  cr_assert(view.mDoubts.empty());
+}
+
+Test(object_view, what_a_restored_store_had_never_said_counts_at_once)
+{
+  auto view = MakeView();
+  const auto changes =
+    TakeRestored(view, { { "a", 3, false, R"({"other":1})" }, Put("d", 9) }, 2,
+                 9, kDoubts, kNow);
+  // The object that is missing was there before anything that was seen.
+  cr_assert((Names(changes) == std::set<std::string>{ "a", "b", "d" }));
+  cr_assert(view.mDoubts.empty());
+}
+
+// Pattern: the store is restored twice within seconds.
+Test(object_view, a_second_restore_compares_with_what_is_believed)
+{
+  auto view = MakeView();
+  TakeChanges(view, { Removal("a", 11) }, 11);
+  TakeRestored(view, { Put("a", 3), Put("b", 5) }, 2, 10, kDoubts, kNow);
+  const auto changes =
+    TakeRestored(view, { Put("a", 3), Put("b", 5) }, 3, 10, kDoubts, kNow + 3s);
+  cr_assert(changes.empty());
+  cr_assert_eq(view.mDoubts.count("a"), 1U);
+  cr_assert(SettleDoubts(view, kNow + 8s).empty());
+  cr_assert_eq(SettleDoubts(view, kNow + 9s).size(), 1U);
+}
+
+Test(object_view, changes_of_an_earlier_epoch_are_not_passed_on)
+{
+  auto view = MakeView();
+  TakeChanges(view, { Removal("a", 11) }, 11);
+  TakeRestored(view, { Put("a", 3), Put("b", 5) }, 2, 8, kDoubts, kNow);
+  cr_assert_not(ChangesSince(view, 7).has_value());
+  cr_assert(ChangesSince(view, 8)->empty());
+}
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -47,7 +47,7 @@
 
   std::string Answer(std::uint64_t aFrom)
   {
-    const ViewQuestion question{ ObjectKind::Entries, aFrom };
+    const ViewQuestion question{ ObjectKind::Entries, aFrom, std::nullopt };
     return AnswerPull(mEntry, ToJson(question));
   }
 };
@@ -115,6 +115,59 @@
   cr_assert_eq(newer.size(), 1U);
 }
 
+namespace {
+
+/// Lets an entry list its view from a store that was restored.
+void Restore(Bed& aBed)
+{
+  TakeRestored(aBed.State().mView, {}, 2, 8, {}, Clock::now());
+  NoteEpoch(aBed.mEntry, 2, "store");
+}
+
+} // namespace
+
+// Guards against entries that take one history's revisions for another's.
+Test(relay, a_peer_of_another_epoch_neither_confirms_nor_changes_the_view)
+{
+  Bed old("e1");
+  Bed restored("e2");
+  Restore(restored);
+  const auto now = Clock::now() + 10s;
+  const auto before = restored.State().mView.mConfirmed;
+  Confirm(old.State().mView, now);
+  old.Change("e7", 12, 10);
+  cr_assert(
+    HearViews(restored.mEntry, TellViews(old.mEntry, now), now).empty());
+  TakePush(restored.mEntry, old.Answer(8));
+  cr_assert_eq(restored.State().mView.mConfirmed, before);
+  cr_assert_eq(restored.State().mView.mRevision, 8U);
+  cr_assert(restored.mEntry.mRoster.mOthers.empty());
+  cr_assert_not(restored.State().mBehind);
+}
+
+// An entry that listens to others does not watch, and so meets no 410.
+Test(relay, word_of_a_later_epoch_sends_an_entry_to_the_store)
+{
+  Bed listening("e1");
+  Bed restored("e2");
+  Restore(restored);
+  const auto now = Clock::now();
+  cr_assert_eq(listening.mEntry.mStoreEpoch, kFirstEpoch);
+  cr_assert(
+    HearViews(listening.mEntry, TellViews(restored.mEntry, now), now).empty());
+  cr_assert_eq(listening.mEntry.mStoreEpoch, 2U);
+}
+
+Test(relay, the_first_epoch_is_left_out_of_messages)
+{
+  Bed bed("e1");
+  cr_assert_eq(ToJson(TellViews(bed.mEntry, Clock::now())[0]).find("epoch"),
+               std::string::npos);
+  Restore(bed);
+  cr_assert_neq(ToJson(TellViews(bed.mEntry, Clock::now())[0]).find("epoch"),
+                std::string::npos);
+}
+
 Test(relay, news_of_a_region_survives_its_short_form)
 {
   Bed bed("e1");
