Let an odd object in the store cost itself alone

Callers would have seen (reported by operators of similar systems): one registration of another writer, nested over 32 deep, with a number out of range or bytes that are not UTF-8, and entries serve nothing after a start, or follow no change any more. Cause: an answer of the store was parsed as one text; a text that does not parse counted as an empty listing at revision 0.

One whose name can be read is an unusable registration and is logged by it; others are counted in objects_unreadable. Class of fault: one bad item fails the whole batch.

--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -42,6 +42,7 @@
   std::optional<std::uint64_t> mEpoch;
   std::uint64_t mRevision = 0;
   std::vector<ObjectChange> mChanges;
+  std::size_t mUnreadable = 0; ///< Objects without a name that can be read.
   Error mError; ///< Set where the status is not Ok.
 };
 
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -171,6 +171,12 @@
                                          aCall + "\"");
   const bool worked = aReply.mStatus == StoreStatus::Ok || aReply.mHistoryGone;
   NoteEpoch(aEntry, aReply.mEpoch.value_or(kFirstEpoch), "store");
+  if (aReply.mUnreadable > 0) {
+    Log(LogLevel::Warning, "objects_unreadable",
+        { { "kind", KindName(aKind) },
+          { "call", aCall },
+          { "objects", std::to_string(aReply.mUnreadable) } });
+  }
   // Of whatever kind the first call is that works, it ends the outage.
   if (InOutage(aEntry.mStoreAccess, aNow)) {
     NoteRegistryTrouble(aEntry.mRegistry, aNow);
