Remember what was believed, not what a restored copy said, as an object's past

Found by reading: while what a restored store says of an object is doubted, the state kept from before the next change was the copy's. A second restore within the doubt could then take the state in between for new.

--- a/src/views/object_view.cpp
+++ b/src/views/object_view.cpp
@@ -38,21 +38,6 @@
   }
 }
 
-/// Keeps what an object was before a change.
-void NotePast(ObjectView& aView, const std::string& aName)
-{
-  const auto it = aView.mObjects.find(aName);
-  PastState past{ aName, 0, 0 };
-  if (it != aView.mObjects.end()) {
-    past.mRevision = it->second.mRevision;
-    past.mSpecHash = Hash(it->second.mSpec);
-  }
-  aView.mPast.push_back(std::move(past));
-  if (aView.mPast.size() > kMaxPast) {
-    aView.mPast.pop_front();
-  }
-}
-
 /// @returns true where an object was once as it is said to be now
 bool IsPast(const ObjectView& aView, const std::string& aName,
             const ObjectChange* aSaid)
@@ -65,6 +50,21 @@
     });
 }
 
+/// Keeps what an object was believed to be before a change; null for none.
+void NotePast(ObjectView& aView, const std::string& aName,
+              const ObjectChange* aBefore)
+{
+  PastState past{ aName, 0, 0 };
+  if (aBefore != nullptr) {
+    past.mRevision = aBefore->mRevision;
+    past.mSpecHash = Hash(aBefore->mSpec);
+  }
+  aView.mPast.push_back(std::move(past));
+  if (aView.mPast.size() > kMaxPast) {
+    aView.mPast.pop_front();
+  }
+}
+
 /// @returns what is believed of all objects, doubts included
 std::map<std::string, ObjectChange> Believed(const ObjectView& aView)
 {
@@ -87,6 +87,18 @@
   return it == aObjects.end() ? nullptr : &it->second;
 }
 
+/// @returns what is believed of an object, or null
+const ObjectChange* FindBelieved(const ObjectView& aView,
+                                 const std::string& aName)
+{
+  const auto doubt = aView.mDoubts.find(aName);
+  if (doubt == aView.mDoubts.end()) {
+    return Find(aView.mObjects, aName);
+  }
+  const auto& believed = doubt->second.mBelieved;
+  return believed ? &*believed : nullptr;
+}
+
 /// @returns true where the change was new
 bool TakeOne(ObjectView& aView, const ObjectChange& aChange)
 {
@@ -96,7 +108,7 @@
         it->second.mRevision > aChange.mRevision) {
       return false;
     }
-    NotePast(aView, aChange.mName);
+    NotePast(aView, aChange.mName, FindBelieved(aView, aChange.mName));
     aView.mDoubts.erase(aChange.mName);
     aView.mObjects.erase(it);
     NoteRemoval(aView, aChange);
@@ -106,7 +118,7 @@
     return false;
   }
   if (aView.mListed) {
-    NotePast(aView, aChange.mName);
+    NotePast(aView, aChange.mName, FindBelieved(aView, aChange.mName));
   }
   aView.mDoubts.erase(aChange.mName);
   aView.mObjects[aChange.mName] = aChange;
@@ -196,7 +208,7 @@
       }
       continue;
     }
-    NotePast(aView, name);
+    NotePast(aView, name, before);
     out.push_back(now != nullptr ? *now
                                  : ObjectChange{ name, aRevision, true, {} });
   }
