Take a refusal without an id on a kept connection for no promise

Reported by operators of similar systems: a faulty target wrote an earlier refusal once more on a kept connection; callers were told 'not run' for a request that ran, or it ran at a second target. Refusals that name another request were skipped already; one that names none was believed. It now counts as a lost answer, and the kept connections to that target are closed. On a new connection nothing earlier can come. forward::a_refusal_that_names_no_request_is_believed_on_a_new_connection failed before (503 where 502 is the truth). An answer cut in its head after any byte was refused before too; a test shows it now.

--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -192,6 +192,16 @@
                { "may_have_run", aResult.mMayHaveReached ? "yes" : "no" } });
 }
 
+/// True for a refusal that may be an earlier one, which a faulty target wrote
+/// once more on a kept connection: nothing in it names the request.
+bool IsUnidentifiedRefusal(const Entry& aEntry, const ExchangeResult& aResult)
+{
+  const auto& answer = *aResult.mResponse;
+  return aResult.mReused && SaysNotRun(aEntry, answer) &&
+         FindHeader(answer.mHeaders, aEntry.mPlatform.mHeaders.mRequestId)
+           .empty();
+}
+
 SendOutcome JudgeAnswer(const Entry& aEntry, RequestState& aState,
                         LiveTarget& aTarget, HttpResponse aAnswer,
                         TimePoint aNow)
@@ -261,6 +271,14 @@
     aState.mRuns += out.mNotRun ? 0 : 1;
     co_return out;
   }
+  if (IsUnidentifiedRefusal(aEntry, result)) {
+    // The answer to this request may still come on that connection.
+    aEntry.mTargetClient.Forget(endpoint);
+    ++aState.mRuns;
+    out.mWorthRetry = true;
+    out.mWhat = "refusal_unidentified";
+    co_return out;
+  }
   auto took = std::chrono::duration_cast<Millis>(now - started);
   if (result.mConnectTime) {
     took -= std::chrono::duration_cast<Millis>(*result.mConnectTime);
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -348,6 +348,52 @@
   }
 }
 
+// Guards against "not run" for a request that a target runs: a faulty target
+// writes an earlier refusal once more on a kept connection.
+Test(forward, a_refusal_that_names_no_request_is_believed_on_a_new_connection)
+{
+  const auto refuse = [](int, const std::string&) -> ScriptedAnswer {
+    return { Answer(503, "Not-Run: 1\r\n") };
+  };
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(refuse);
+  cr_assert_eq(bed.Send().mStatus, 503U);
+  // The second one comes on the connection that the first one left.
+  const auto out = bed.Send();
+  cr_assert_eq(out.mStatus, 502U);
+  cr_assert_eq(bed.Runs(), 2);
+  // That connection is not used again.
+  cr_assert_eq(bed.Send().mStatus, 503U);
+}
+
+Test(forward, a_refusal_that_names_its_request_is_believed_on_any_connection)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add([](int, const std::string&) -> ScriptedAnswer {
+    return { Answer(503, "Not-Run: 1\r\nId: q1\r\n") };
+  });
+  for (int n = 0; n < 3; ++n) {
+    cr_assert_eq(bed.Send().mStatus, 503U);
+  }
+}
+
+// Guards against an answer that breaks off in its head and is passed on as a
+// whole one.
+Test(forward, an_answer_cut_in_its_head_is_no_answer)
+{
+  const std::string whole = Answer(200, "Proof: p\r\nOther: x\r\n");
+  const auto head = whole.find("\r\n\r\n") + 4;
+  for (std::size_t n = 1; n < head; ++n) {
+    Bed bed(RequestKind::NonIdempotent);
+    bed.Add([&](int, const std::string&) -> ScriptedAnswer {
+      return { whole.substr(0, n), true };
+    });
+    const auto out = bed.Send();
+    cr_assert_eq(out.mStatus, 502U, "cut after %zu bytes", n);
+    cr_assert(FindHeader(out.mHeaders, "Proof").empty());
+  }
+}
+
 Test(forward, lost_answers_make_no_request_suspect)
 {
   Bed bed(RequestKind::NonIdempotent);
