Believe targets that say in answers that they leave, or want nothing

A life that says that it leaves, or was seen draining, gets nothing more from this entry: retries and requests that return go elsewhere, and a registration that says ready, a lapse or a restored store do not bring it back; its next life serves. Late answers to earlier requests tell as much. A target that wants nothing is left alone for that time and up to an eighth of it more (a second at most, 60 s in all), so that entries come back one after another. Where all want nothing a request is refused at once (reason=paused) with the time at which the first one takes work again.

--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -56,6 +56,7 @@
   NoTarget, ///< None may serve it.
   Full,     ///< All that should serve it have long queues.
   Limited,  ///< Those that should serve it take no more for a while.
+  Paused,   ///< Those that should serve it want nothing for a while.
   Bound,    ///< There is room, but only beyond the bound on shifts between
             ///< regions.
   TooLate,  ///< It would not end before its deadline.
--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -13,6 +13,7 @@
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -54,6 +55,8 @@
   std::optional<TimePoint> mLapsesAt;
   /// Set once it left, drains, or another process answers at its address.
   bool mLeft = false;
+  /// It takes nothing from this entry until then, as it said in an answer.
+  TimePoint mPausedUntil{};
   /// Late runs whose connections broke; one of them may have crashed it.
   std::vector<BrokenRun> mBroken;
   bool mProbed = false; ///< It is being asked whether it still listens.
@@ -75,6 +78,8 @@
   std::map<std::string, TimePoint> mReturned; ///< Ends of evacuations.
   TimePoint mTroubleUntil{}; ///< Lapses until then may be false.
   TimePoint mChanged{};      ///< When a target or domain last came or went.
+  /// Lives that said that they leave; they stay out if they register again.
+  std::deque<std::uint64_t> mLeftLives;
 };
 
 /// What a change did to a target.
@@ -100,6 +105,26 @@
 RegistryChange TakeRemoval(TargetRegistry& aRegistry, const std::string& aId,
                            TimePoint aNow);
 
+/// Notes that a target said in an answer that it leaves.
+/// @returns true where that is new
+bool NoteSaidLeaving(TargetRegistry& aRegistry, LiveTarget& aTarget,
+                     TimePoint aNow);
+
+/// Longest time for which a target that wants nothing is left alone.
+inline constexpr Millis kMaxPause{ 60'000 };
+
+/// Notes that a target wants nothing from this entry for a time, which is cut
+/// to kMaxPause. Entries come back one after another, within an eighth of the
+/// time, a second at most.
+/// @param aEntry  hash of this entry
+/// @returns true where it has begun a pause or made one longer
+bool NotePause(LiveTarget& aTarget, Millis aTime, std::uint64_t aEntry,
+               TimePoint aNow) noexcept;
+
+/// @returns how much longer a target wants nothing from this entry
+[[nodiscard]] Millis PausedFor(const LiveTarget& aTarget,
+                               TimePoint aNow) noexcept;
+
 /// Sets which region each failure domain lies in.
 void SetDomains(TargetRegistry& aRegistry, DomainMap aDomains);
 
--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -43,7 +43,7 @@
   std::uint64_t mRevision = 0;
   std::vector<ObjectChange> mChanges;
   std::size_t mUnreadable = 0; ///< Objects without a name that can be read.
-  Error mError; ///< Set where the status is not Ok.
+  Error mError;                ///< Set where the status is not Ok.
 };
 
 /// Header names of requests and answers on the platform.
@@ -57,6 +57,10 @@
   std::string mProof;    ///< On answers: the target's mark on its answer.
   /// On answers: requests a second that the target takes from all entries.
   std::string mRateLimit;
+  /// On answers: the target leaves; it is to get nothing more.
+  std::string mLeaving;
+  /// On refusals: how long the target wants nothing from this entry.
+  std::string mPause;
 };
 
 /// A caller's question for entries.
@@ -95,6 +99,9 @@
   std::function<std::optional<ReportedLoad>(std::string_view)> mReadLoad;
   /// @returns requests a second; nothing where the text is no rate
   std::function<std::optional<double>(std::string_view)> mReadRateLimit;
+  /// @returns how long a target wants nothing; nothing where the text is no
+  ///          time
+  std::function<std::optional<Millis>(std::string_view)> mReadPause;
   std::function<std::optional<LookupQuestion>(const HttpRequest&)> mReadLookup;
   std::function<HttpResponse(const std::vector<std::string>&, Millis aTtl)>
     mWriteLookup;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -86,6 +86,8 @@
       return "full";
     case PlacementRefusal::Limited:
       return "limited";
+    case PlacementRefusal::Paused:
+      return "paused";
     case PlacementRefusal::Bound:
       return "shift_bound";
     case PlacementRefusal::TooLate:
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -3,6 +3,7 @@
 #include "entry/crashes.hpp"
 #include "entry/rate_limits.hpp"
 #include "entry/request_state.hpp"
+#include "entry/target_words.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -256,6 +257,9 @@
     NoteConnect(aEntry.mTrips, target->mRegistration.mFailureDomain,
                 *result.mConnectTime);
   }
+  for (const auto& it : result.mStray) {
+    LearnLateWords(aEntry, *target, it, aState.mId, now);
+  }
   SendOutcome out;
   if (result.mCancelled) {
     // The caller left, which says nothing of the target.
@@ -284,6 +288,7 @@
     took -= std::chrono::duration_cast<Millis>(*result.mConnectTime);
   }
   if (result.mResponse->mStatus != aEntry.mPlatform.mWrongTargetStatus) {
+    LearnWords(aEntry, *target, *result.mResponse, aState.mId, now);
     LearnLimit(aEntry, *target, *result.mResponse, started, now);
   }
   LearnAnswer(aEntry, aState, *target, *result.mResponse, took, now);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -391,7 +391,8 @@
 /// Reads answers until one belongs to the request.
 asio::awaitable<beast::error_code> Receive(
   Connection aConnection, HttpPoolState& aPool, bool aHead,
-  const ExchangeOptions& aOptions, std::optional<ResponseParser>& aParser)
+  const ExchangeOptions& aOptions, std::optional<ResponseParser>& aParser,
+  std::vector<Headers>& aStray)
 {
   for (int n = 0; n <= kMaxStray; ++n) {
     aParser.emplace();
@@ -406,6 +407,7 @@
     if (ec || !IsStray(aParser->get(), aOptions)) {
       co_return ec;
     }
+    aStray.push_back(FromBeast(aParser->release()).mHeaders);
   }
   co_return http::error::unexpected_body;
 }
@@ -454,7 +456,8 @@
     asio::co_spawn(mExecutor, Send(sending), asio::detached);
   }
   std::optional<ResponseParser> parser;
-  const auto ec = co_await Receive(connection, *pool, head, aOptions, parser);
+  const auto ec =
+    co_await Receive(connection, *pool, head, aOptions, parser, result.mStray);
   if (ec) {
     const bool unsent = sending->mDone && sending->mError;
     result.mTimedOut = ec == beast::error::timeout;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -48,6 +48,8 @@
 {
   std::optional<HttpResponse> mResponse; ///< A whole response.
   Error mError;                          ///< Set where there is none.
+  /// Heads of late answers to earlier requests that came before it.
+  std::vector<Headers> mStray;
   /// False only where no byte of the request can have reached the peer.
   bool mMayHaveReached = false;
   bool mTimedOut = false;
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -19,6 +19,8 @@
     { "full", "not run: every target that should serve it had a long queue" },
     { "limited", "not run: all targets that should serve it name a rate limit, "
                  "and take no more for a while" },
+    { "paused", "not run: all targets that should serve it said that they want "
+                "nothing for a while" },
     { "shift_bound", "not run: its region is full, and the bound on shifts "
                      "between regions kept it there" },
     { "too_late", "not run: it could not end before its deadline" },
@@ -31,6 +33,8 @@
     { "wrong_target", "not run: another target has the address by now" },
     { "connection_lost", "the connection to the target broke" },
     { "timeout", "no answer before the deadline" },
+    { "refusal_unidentified",
+      "a refusal on a kept connection named no request; it may have run" },
     { "answer_unproven", "an answer did not come from a target's program" },
   };
   return kMeanings;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -147,6 +147,8 @@
   Owners<1> mCold; ///< Used where there is no other.
   /// When the first target takes one more that now takes none by its limit.
   std::optional<Millis> mLimitedFor;
+  /// When the first target takes one more that now wants none.
+  std::optional<Millis> mPausedFor;
   /// Besides the owners: targets known to be warm, and one with a rate limit.
   std::vector<LiveTarget*> mOthers;
   bool mAny = false;
@@ -173,6 +175,10 @@
       continue;
     }
     out.mAny = true;
+    if (const auto paused = PausedFor(*it, aNow); paused > Millis(0)) {
+      out.mPausedFor = std::min(paused, out.mPausedFor.value_or(paused));
+      continue;
+    }
     const auto limited = LimitedFor(it->mLimit, it->mLoad.mLastSend, aNow);
     if (limited > Millis(0)) {
       out.mLimitedFor = std::min(limited, out.mLimitedFor.value_or(limited));
@@ -290,9 +296,12 @@
     out = shortest->mChoice;
     out.mClearsIn = TimeToClear(*shortest);
     out.mRefusal = PlacementRefusal::Full;
-  } else if (aField.mLimitedFor) {
-    out.mClearsIn = std::max(kMinClear, *aField.mLimitedFor);
-    out.mRefusal = PlacementRefusal::Limited;
+  } else if (aField.mLimitedFor || aField.mPausedFor) {
+    const auto limited = aField.mLimitedFor.value_or(kMaxPause);
+    const auto paused = aField.mPausedFor.value_or(kMaxPause);
+    out.mClearsIn = std::max(kMinClear, std::min(limited, paused));
+    out.mRefusal =
+      aField.mLimitedFor ? PlacementRefusal::Limited : PlacementRefusal::Paused;
   } else {
     out.mClearsIn = kMinClear;
     out.mRefusal =
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -7,6 +7,29 @@
 namespace guavaline {
 namespace {
 
+constexpr std::size_t kMaxLeftLives = 1'024;
+/// Part of a pause within which entries come back, and its bound.
+constexpr int kPauseSpreadPart = 8;
+constexpr Millis kMaxPauseSpread{ 1'000 };
+
+bool HasLeft(const TargetRegistry& aRegistry, std::uint64_t aLife)
+{
+  const auto& lives = aRegistry.mLeftLives;
+  return std::find(lives.begin(), lives.end(), aLife) != lives.end();
+}
+
+/// Keeps out a life that has said that it leaves.
+void NoteLeftLife(TargetRegistry& aRegistry, std::uint64_t aLife)
+{
+  if (HasLeft(aRegistry, aLife)) {
+    return;
+  }
+  aRegistry.mLeftLives.push_back(aLife);
+  if (aRegistry.mLeftLives.size() > kMaxLeftLives) {
+    aRegistry.mLeftLives.pop_front();
+  }
+}
+
 void Remove(TargetRegistry& aRegistry, const std::string& aId)
 {
   const auto it = aRegistry.mTargets.find(aId);
@@ -35,7 +58,7 @@
   target->mLife =
     HashPair(target->mHash, static_cast<std::uint64_t>(aRegistration.mStarted));
   target->mColdUntil = aNow + aRegistration.mColdLeft;
-  target->mLeft = aRegistration.mDraining;
+  target->mLeft = aRegistration.mDraining || HasLeft(aRegistry, target->mLife);
   target->mRegion = RegionOf(aRegistry, aRegistration.mFailureDomain);
   aRegistry.mByService[aRegistration.mService].push_back(target);
   aRegistry.mTargets[aRegistration.mId] = std::move(target);
@@ -67,6 +90,9 @@
     return RegistryChange::Restarted;
   }
   const bool drains = aRegistration.mDraining && !target.mLeft;
+  if (drains) {
+    NoteLeftLife(aRegistry, target.mLife);
+  }
   aRegistry.mChanged = drains ? aNow : aRegistry.mChanged;
   target.mRegistration = aRegistration;
   target.mLapsesAt.reset();
@@ -94,6 +120,39 @@
   return RegistryChange::Left;
 }
 
+bool NoteSaidLeaving(TargetRegistry& aRegistry, LiveTarget& aTarget,
+                     TimePoint aNow)
+{
+  const bool fresh = !HasLeft(aRegistry, aTarget.mLife);
+  NoteLeftLife(aRegistry, aTarget.mLife);
+  aTarget.mLeft = true;
+  aRegistry.mChanged = fresh ? aNow : aRegistry.mChanged;
+  return fresh;
+}
+
+bool NotePause(LiveTarget& aTarget, Millis aTime, std::uint64_t aEntry,
+               TimePoint aNow) noexcept
+{
+  const auto time = std::clamp(aTime, Millis(0), kMaxPause);
+  const auto spread = std::min(time / kPauseSpreadPart, kMaxPauseSpread);
+  const auto part =
+    static_cast<Millis::rep>(HashPair(aEntry, aTarget.mLife) %
+                             static_cast<std::uint64_t>(spread.count() + 1));
+  const auto until = aNow + time + Millis(part);
+  if (time == Millis(0) || until <= aTarget.mPausedUntil) {
+    return false;
+  }
+  aTarget.mPausedUntil = until;
+  return true;
+}
+
+Millis PausedFor(const LiveTarget& aTarget, TimePoint aNow) noexcept
+{
+  return aNow < aTarget.mPausedUntil
+           ? std::chrono::ceil<Millis>(aTarget.mPausedUntil - aNow)
+           : Millis(0);
+}
+
 void SetDomains(TargetRegistry& aRegistry, DomainMap aDomains)
 {
   aRegistry.mDomains = std::move(aDomains);
--- a/tests/unit/entry_fixtures.cpp
+++ b/tests/unit/entry_fixtures.cpp
@@ -12,14 +12,18 @@
 detail::PlatformAdapter PlainAdapter()
 {
   detail::PlatformAdapter out;
-  out.mHeaders = { "Id",   "Time-Left", "Target", "Not-Run",
-                   "Load", "Proof",     "Limit" };
+  out.mHeaders = { "Id",    "Time-Left", "Target",  "Not-Run", "Load",
+                   "Proof", "Limit",     "Leaving", "Pause" };
   out.mObjectOf = [](const detail::HttpRequest&) {
     return std::string("object");
   };
   out.mReadLoad = [](std::string_view) {
     return std::optional<ReportedLoad>();
   };
+  out.mReadPause = [](std::string_view a) {
+    return a == "bad" ? std::optional<Millis>()
+                      : Millis(std::stoll(std::string(a)));
+  };
   out.mReadRateLimit = [](std::string_view a) {
     return a == "bad" ? std::optional<double>() : std::stod(std::string(a));
   };
--- a/tests/unit/entry_fixtures.hpp
+++ b/tests/unit/entry_fixtures.hpp
@@ -9,7 +9,8 @@
 namespace guavaline::tests {
 
 /// @returns an adapter whose fields are named "Id", "Time-Left", "Target",
-///          "Not-Run", "Load", "Proof" and "Limit"
+///          "Not-Run", "Load", "Proof", "Limit", "Leaving" and "Pause"; the
+///          last one in milliseconds
 detail::PlatformAdapter PlainAdapter();
 
 /// Brings a route "a.example/x/" to "service" into force, with fresh views.
