Let the store come back from an older copy in the soak, again and again

While faults begin, the stand-in store keeps a copy, comes back from it 0.2 to 5 s later, and gets written again what the operator and living targets had written; registrations of ended targets go after 4.5 s.

--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -24,6 +24,8 @@
 /// A limit binds some seconds after it is named.
 constexpr Millis kMinLimitTime{ 9'000 };
 constexpr Millis kMaxLimitTime{ 13'000 };
+/// From the store's return until registrations of ended targets are gone.
+constexpr Millis kLapseTime{ 4'500 };
 /// From SIGTERM until the platform would kill the process.
 constexpr Millis kGrace{ 6'000 };
 /// Impairments at once, besides the limits.
@@ -39,6 +41,14 @@
   std::function<void()> mEnd;
 };
 
+/// How far the store is on its way back from a copy.
+struct RestoreSteps
+{
+  std::optional<TimePoint> mReturns;
+  std::optional<TimePoint> mLapses; ///< When ended targets are gone again.
+  std::size_t mRecord = 0;          ///< Index into the impairments.
+};
+
 class Soak
 {
 public:
@@ -46,6 +56,7 @@
     : mOptions(aOptions)
     , mWorld(aOptions.mWorld)
     , mRandom(aOptions.mWorld.mSeed)
+    , mRestoreRandom(aOptions.mWorld.mSeed + 1)
   {
   }
 
@@ -89,8 +100,9 @@
     for (std::size_t n = 0; n < kLimits; ++n) {
       Limit();
     }
-    while (Clock::now() < aEnd || !mOpen.empty()) {
+    while (Clock::now() < aEnd || !mOpen.empty() || mRestore.mLapses) {
       EndDue(Clock::now());
+      StepRestore(aEnd, Clock::now());
       if (Clock::now() >= next && Clock::now() < aEnd &&
           mOpen.size() < kMaxAtOnce + kLimits) {
         Begin();
@@ -100,6 +112,30 @@
     }
   }
 
+  /// The store comes back from a copy that is some seconds old, again and
+  /// again. The draws of other impairments do not depend on it.
+  void StepRestore(TimePoint aEnd, TimePoint aNow)
+  {
+    std::uniform_int_distribution<Millis::rep> wait(kMinTime.count(),
+                                                    kMaxTime.count());
+    auto& step = mRestore;
+    if (!step.mReturns && !step.mLapses && aNow < aEnd) {
+      mWorld.KeepStoreCopy();
+      step.mReturns = aNow + Millis(wait(mRestoreRandom));
+    } else if (step.mReturns && aNow >= *step.mReturns) {
+      step.mReturns.reset();
+      step.mLapses = aNow + kLapseTime;
+      step.mRecord = mHistory.mImpairments.size();
+      mHistory.mImpairments.push_back({ "store", NowMicros(), 0 });
+      std::printf("%9ld us store: restored\n", NowMicros());
+      mWorld.RestoreStore();
+    } else if (step.mLapses && aNow >= *step.mLapses) {
+      step.mLapses.reset();
+      mWorld.LapseTargets();
+      mHistory.mImpairments[step.mRecord].mTo = NowMicros();
+    }
+  }
+
   void EndDue(TimePoint aNow)
   {
     for (std::size_t n = 0; n < mOpen.size();) {
@@ -404,6 +440,8 @@
   SoakOptions mOptions;
   World mWorld;
   std::mt19937_64 mRandom;
+  std::mt19937_64 mRestoreRandom;
+  RestoreSteps mRestore;
   SoakHistory mHistory;
   std::vector<Open> mOpen;
   std::set<std::size_t> mBusyTargets;
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -306,6 +306,47 @@
   OnWorld([&] { mStore.DropHistory(); });
 }
 
+void World::KeepStoreCopy()
+{
+  OnWorld([&] { mStore.KeepCopy(); });
+}
+
+void World::RestoreStore()
+{
+  OnWorld([&] {
+    mStore.Restore();
+    mStore.Put("config", "main", MakeConfiguration(mVersion));
+    for (auto& it : mTargets) {
+      if (*it.mState != '\0') {
+        Register(it, it.mState);
+      }
+    }
+    for (const auto& it : mEntries) {
+      if (mEvacuated.count(it.mZone) > 0) {
+        mStore.Put("evacuations", it.mZone, json::object{});
+      } else {
+        mStore.Remove("evacuations", it.mZone);
+      }
+    }
+  });
+}
+
+void World::LapseTargets()
+{
+  OnWorld([&] {
+    std::set<std::string> living;
+    for (const auto& it : mTargets) {
+      living.insert(it.mTarget->About().mId);
+    }
+    for (std::uint64_t n = 0; n < mNextTarget; ++n) {
+      const auto id = "t" + std::to_string(n);
+      if (living.count(id) == 0) {
+        mStore.Remove("servers", id);
+      }
+    }
+  });
+}
+
 void World::OnStorePath(std::size_t aEntry,
                         const std::function<void(SoakProxy&)>& aDo)
 {
@@ -327,6 +368,7 @@
 void World::Register(TargetPlace& aPlace, const char* aState)
 {
   const auto& about = aPlace.mTarget->About();
+  aPlace.mState = aState;
   mStore.Put(
     "servers", about.mId,
     json::object{ { "address", aPlace.mProxyAt.Text() },
@@ -349,7 +391,10 @@
 
 void World::CrashTarget(std::size_t aTarget)
 {
-  OnWorld([&] { mTargets[aTarget].mTarget->Crash(); });
+  OnWorld([&] {
+    mTargets[aTarget].mTarget->Crash();
+    mTargets[aTarget].mState = "";
+  });
 }
 
 void World::ReplaceTarget(std::size_t aTarget)
@@ -425,8 +470,10 @@
 {
   OnWorld([&] {
     if (aEmptied) {
+      mEvacuated.insert(aZone);
       mStore.Put("evacuations", aZone, json::object{});
     } else {
+      mEvacuated.erase(aZone);
       mStore.Remove("evacuations", aZone);
     }
   });
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -12,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <thread>
 
 namespace guavaline::testing {
@@ -66,6 +67,13 @@
 
   void SetStore(const PlatformStoreFaults& aFaults);
   void DropHistory();
+  /// Keeps a copy of the store, from which it comes back later. What operators
+  /// and living targets wrote is written again then.
+  void KeepStoreCopy();
+  void RestoreStore();
+  /// Removes registrations of targets that have ended, which a copy brought
+  /// back.
+  void LapseTargets();
   /// Proxy between an entry and the store, callers and an entry, entries and
   /// a target.
   void OnStorePath(std::size_t aEntry,
@@ -100,6 +108,7 @@
     std::unique_ptr<SoakProxy> mProxy;
     std::int64_t mBorn = 0;
     std::uint64_t mSequence = 0;
+    const char* mState = ""; ///< As last registered; empty once crashed.
   };
 
   void OnWorld(const std::function<void()>& aDo);
@@ -120,6 +129,7 @@
   std::vector<std::unique_ptr<SoakProxy>> mCallerPaths;
   std::vector<std::unique_ptr<EntryChild>> mChildren;
   std::vector<TargetPlace> mTargets;
+  std::set<std::string> mEvacuated; ///< Zones.
   std::uint64_t mVersion = 1;
   std::uint64_t mNextTarget = 1;
   std::thread mThread;
