Count a later crash of a request that crashed many targets at once

Found by reading: eight crashes were kept of a request. Where as many targets crashed in one moment, which counts as one crash, no later one was taken in, and the request was never refused. The first is kept, and those that came during its run make room. crashers::crashes_at_one_moment_do_not_hide_a_later_one failed before.

--- a/src/crashers/crashers.cpp
+++ b/src/crashers/crashers.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr std::uint32_t kCrashesToRefuse = 2;
-/// Crashes kept of one request.
+/// Crashes kept of one request that is not refused yet.
 constexpr std::size_t kMaxCrashes = 8;
 /// Word of a crash that comes later than a good run's is still older than it.
 constexpr Millis kServedMemory{ 30'000 };
@@ -64,9 +64,14 @@
   const bool cleared = record->mServed != TimePoint{} &&
                        aCrash.mCrashed <= record->mServed + kNewsDelay;
   const auto forget = aCrash.mCrashed + aTable.mMemory;
-  if (known || cleared || crashes.size() >= kMaxCrashes || forget <= aNow) {
+  if (known || cleared || forget <= aNow ||
+      record->mSeparate >= kCrashesToRefuse) {
     return false;
   }
+  if (crashes.size() >= kMaxCrashes) {
+    // Only the first one counts so far; the others came during its run.
+    crashes.erase(crashes.begin() + 1);
+  }
   const auto at = std::upper_bound(
     crashes.begin(), crashes.end(), aCrash,
     [](const Crash& a, const Crash& b) { return a.mCrashed < b.mCrashed; });
--- a/tests/unit/crashers_test.cpp
+++ b/tests/unit/crashers_test.cpp
@@ -43,6 +43,19 @@
   cr_assert_not(IsCrasher(table, 1, kNow + 2s));
 }
 
+// Guards against a request that many callers send at once: the targets that
+// crash together must not hide those that crash later.
+Test(crashers, crashes_at_one_moment_do_not_hide_a_later_one)
+{
+  CrasherTable table;
+  for (std::uint64_t life = 1; life <= 20; ++life) {
+    NoteCrash(table, { 1, life, kNow, kNow + 1s }, kNow + 1s);
+  }
+  cr_assert_not(IsCrasher(table, 1, kNow + 1s));
+  CrashAt(table, 21, kNow + 5s);
+  cr_assert(IsCrasher(table, 1, kNow + 5s));
+}
+
 // Several entries see one target end under the same request.
 Test(crashers, one_life_of_a_target_counts_once)
 {
