Keep out a life that was draining when it was first seen

Found by reading: only a change to draining was remembered. An entry that saw a target for the first time as it drained took it for new when an old copy of the store listed it as ready. target_words::a_life_that_was_seen_draining_stays_out failed before.

--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -58,7 +58,10 @@
   target->mLife =
     HashPair(target->mHash, static_cast<std::uint64_t>(aRegistration.mStarted));
   target->mColdUntil = aNow + aRegistration.mColdLeft;
-  target->mLeft = aRegistration.mDraining || HasLeft(aRegistry, target->mLife);
+  if (aRegistration.mDraining) {
+    NoteLeftLife(aRegistry, target->mLife);
+  }
+  target->mLeft = HasLeft(aRegistry, target->mLife);
   target->mRegion = RegionOf(aRegistry, aRegistration.mFailureDomain);
   aRegistry.mByService[aRegistration.mService].push_back(target);
   aRegistry.mTargets[aRegistration.mId] = std::move(target);
--- a/tests/unit/target_words_test.cpp
+++ b/tests/unit/target_words_test.cpp
@@ -118,15 +118,20 @@
 
 Test(target_words, a_life_that_was_seen_draining_stays_out)
 {
-  TargetRegistry registry;
-  auto target = tests::TargetAt("t1", "127.0.0.1:9");
-  TakeRegistration(registry, target, kNow);
-  target.mDraining = true;
-  TakeRegistration(registry, target, kNow);
-  TakeRemoval(registry, "t1", kNow);
-  target.mDraining = false;
-  TakeRegistration(registry, target, kNow);
-  cr_assert_not(MayServe(registry, *registry.mTargets.at("t1"), kNow));
+  // Seen ready before, or not.
+  for (const bool before : { true, false }) {
+    TargetRegistry registry;
+    auto target = tests::TargetAt("t1", "127.0.0.1:9");
+    if (before) {
+      TakeRegistration(registry, target, kNow);
+    }
+    target.mDraining = true;
+    TakeRegistration(registry, target, kNow);
+    TakeRemoval(registry, "t1", kNow);
+    target.mDraining = false;
+    TakeRegistration(registry, target, kNow);
+    cr_assert_not(MayServe(registry, *registry.mTargets.at("t1"), kNow));
+  }
 }
 
 // Guards against requests for a target that wants nothing for a while, and
