Name requests that crash targets by what they do

CrasherTable, IsCrasher and ListCrashers become CrashTable, CrashesTargets and ListRefused; the slice crashers is crashes. Names on the wire (the heartbeat's crashers) stay. No logic changes.

--- a/include/guavaline/crashers/crashers.hpp
+++ b/include/guavaline/crashes/crash_table.hpp
@@ -35,7 +35,7 @@
 };
 
 /// Crashes by the digest of method, path and body.
-struct CrasherTable
+struct CrashTable
 {
   struct Record
   {
@@ -56,43 +56,44 @@
 /// count as one with it, so that a region that fails does not make all its
 /// requests suspect; each life of a target counts once.
 /// @returns true where that was not known
-bool NoteCrash(CrasherTable& aTable, const Crash& aCrash, TimePoint aNow);
+bool NoteCrash(CrashTable& aTable, const Crash& aCrash, TimePoint aNow);
 
 /// Notes a run that ended well. Crashes before it do not count.
 /// @returns true where crashes had been counted
-bool NoteServed(CrasherTable& aTable, const ServedRun& aRun);
+bool NoteServed(CrashTable& aTable, const ServedRun& aRun);
 
 /// Notes that a peer refuses a request, of whose crashes it tells nothing.
-void NoteRefusedByPeer(CrasherTable& aTable, std::uint64_t aDigest,
+void NoteRefusedByPeer(CrashTable& aTable, std::uint64_t aDigest,
                        TimePoint aNow);
 
 /// Takes in what another entry saw.
 /// @returns the part that was not known
-CrashEvidence HearEvidence(CrasherTable& aTable, const CrashEvidence& aHeard,
+CrashEvidence HearEvidence(CrashTable& aTable, const CrashEvidence& aHeard,
                            TimePoint aNow);
 
 /// @returns true where a request crashed targets twice
-[[nodiscard]] bool IsCrasher(const CrasherTable& aTable, std::uint64_t aDigest,
-                             TimePoint aNow) noexcept;
+[[nodiscard]] bool CrashesTargets(const CrashTable& aTable,
+                                  std::uint64_t aDigest,
+                                  TimePoint aNow) noexcept;
 
 /// @returns how much longer a request is refused; 0 where it is not
-[[nodiscard]] Millis RefusedFor(const CrasherTable& aTable,
-                                std::uint64_t aDigest, TimePoint aNow) noexcept;
+[[nodiscard]] Millis RefusedFor(const CrashTable& aTable, std::uint64_t aDigest,
+                                TimePoint aNow) noexcept;
 
 /// Lists requests that are refused, for peers; others with each call.
 /// @param aMost  at most so many
-[[nodiscard]] std::vector<std::uint64_t> ListCrashers(CrasherTable& aTable,
-                                                      TimePoint aNow,
-                                                      std::size_t aMost);
+[[nodiscard]] std::vector<std::uint64_t> ListRefused(CrashTable& aTable,
+                                                     TimePoint aNow,
+                                                     std::size_t aMost);
 
 /// @returns what is known of some requests, and of the latest crashes
 /// @param aDigests  the requests
 /// @param aMost     most crashes of other requests
 [[nodiscard]] CrashEvidence EvidenceOf(
-  const CrasherTable& aTable, const std::vector<std::uint64_t>& aDigests,
+  const CrashTable& aTable, const std::vector<std::uint64_t>& aDigests,
   TimePoint aNow, std::size_t aMost);
 
 /// Drops records past their time.
-void ForgetOldCrashes(CrasherTable& aTable, TimePoint aNow);
+void ForgetOldCrashes(CrashTable& aTable, TimePoint aNow);
 
 } // namespace guavaline
--- a/include/guavaline/guavaline.hpp
+++ b/include/guavaline/guavaline.hpp
@@ -13,7 +13,7 @@
 #include <guavaline/core/hash.hpp>
 #include <guavaline/core/time.hpp>
 #include <guavaline/core/units.hpp>
-#include <guavaline/crashers/crashers.hpp>
+#include <guavaline/crashes/crash_table.hpp>
 #include <guavaline/lookup/lookup.hpp>
 #include <guavaline/membership/membership.hpp>
 #include <guavaline/metrics/metrics.hpp>
--- a/src/crashers/crashers.cpp
+++ b/src/crashes/crash_table.cpp
@@ -1,4 +1,4 @@
-#include <guavaline/crashers/crashers.hpp>
+#include <guavaline/crashes/crash_table.hpp>
 
 #include <algorithm>
 
@@ -17,7 +17,7 @@
 /// may have been lost.
 constexpr Millis kFresh{ 10'000 };
 
-CrasherTable::Record* Touch(CrasherTable& aTable, std::uint64_t aDigest)
+CrashTable::Record* FindOrAdd(CrashTable& aTable, std::uint64_t aDigest)
 {
   const auto it = aTable.mRecords.find(aDigest);
   if (it != aTable.mRecords.end()) {
@@ -43,7 +43,7 @@
   return out;
 }
 
-bool IsRefused(const CrasherTable::Record& aRecord, TimePoint aNow) noexcept
+bool IsRefused(const CrashTable::Record& aRecord, TimePoint aNow) noexcept
 {
   return (aRecord.mSeparate >= kCrashesToRefuse || aRecord.mRefusedByPeer) &&
          aNow < aRecord.mForget;
@@ -51,9 +51,9 @@
 
 } // namespace
 
-bool NoteCrash(CrasherTable& aTable, const Crash& aCrash, TimePoint aNow)
+bool NoteCrash(CrashTable& aTable, const Crash& aCrash, TimePoint aNow)
 {
-  auto* record = Touch(aTable, aCrash.mDigest);
+  auto* record = FindOrAdd(aTable, aCrash.mDigest);
   if (record == nullptr) {
     return false;
   }
@@ -81,7 +81,7 @@
   return true;
 }
 
-bool NoteServed(CrasherTable& aTable, const ServedRun& aRun)
+bool NoteServed(CrashTable& aTable, const ServedRun& aRun)
 {
   const auto it = aTable.mRecords.find(aRun.mDigest);
   if (it == aTable.mRecords.end()) {
@@ -102,10 +102,10 @@
   return true;
 }
 
-void NoteRefusedByPeer(CrasherTable& aTable, std::uint64_t aDigest,
+void NoteRefusedByPeer(CrashTable& aTable, std::uint64_t aDigest,
                        TimePoint aNow)
 {
-  auto* record = Touch(aTable, aDigest);
+  auto* record = FindOrAdd(aTable, aDigest);
   // Heard before: the first word sets when it is forgotten, or peers would
   // remind each other for ever.
   const bool cleared = record != nullptr && record->mServed != TimePoint{};
@@ -115,7 +115,7 @@
   }
 }
 
-CrashEvidence HearEvidence(CrasherTable& aTable, const CrashEvidence& aHeard,
+CrashEvidence HearEvidence(CrashTable& aTable, const CrashEvidence& aHeard,
                            TimePoint aNow)
 {
   CrashEvidence out;
@@ -132,14 +132,14 @@
   return out;
 }
 
-bool IsCrasher(const CrasherTable& aTable, std::uint64_t aDigest,
-               TimePoint aNow) noexcept
+bool CrashesTargets(const CrashTable& aTable, std::uint64_t aDigest,
+                    TimePoint aNow) noexcept
 {
   const auto it = aTable.mRecords.find(aDigest);
   return it != aTable.mRecords.end() && IsRefused(it->second, aNow);
 }
 
-Millis RefusedFor(const CrasherTable& aTable, std::uint64_t aDigest,
+Millis RefusedFor(const CrashTable& aTable, std::uint64_t aDigest,
                   TimePoint aNow) noexcept
 {
   const auto it = aTable.mRecords.find(aDigest);
@@ -148,8 +148,8 @@
            : Millis(0);
 }
 
-std::vector<std::uint64_t> ListCrashers(CrasherTable& aTable, TimePoint aNow,
-                                        std::size_t aMost)
+std::vector<std::uint64_t> ListRefused(CrashTable& aTable, TimePoint aNow,
+                                       std::size_t aMost)
 {
   std::vector<std::uint64_t> out;
   auto it = aTable.mRecords.upper_bound(aTable.mLastListed);
@@ -167,7 +167,7 @@
   return out;
 }
 
-CrashEvidence EvidenceOf(const CrasherTable& aTable,
+CrashEvidence EvidenceOf(const CrashTable& aTable,
                          const std::vector<std::uint64_t>& aDigests,
                          TimePoint aNow, std::size_t aMost)
 {
@@ -197,7 +197,7 @@
   return out;
 }
 
-void ForgetOldCrashes(CrasherTable& aTable, TimePoint aNow)
+void ForgetOldCrashes(CrashTable& aTable, TimePoint aNow)
 {
   std::erase_if(aTable.mRecords,
                 [aNow](const auto& a) { return a.second.mForget <= aNow; });
--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -18,13 +18,13 @@
 namespace {
 
 constexpr Millis kHeartbeatTimeout{ 1'000 };
-constexpr std::size_t kMaxCrashersInHeartbeat = 8;
+constexpr std::size_t kMaxRefusedInHeartbeat = 8;
 
 Heartbeat NextHeartbeat(Node& aNode)
 {
   auto out = MakeHeartbeat(aNode.mView);
   for (const auto it :
-       ListCrashers(aNode.mCrashers, Clock::now(), kMaxCrashersInHeartbeat)) {
+       ListRefused(aNode.mCrashTable, Clock::now(), kMaxRefusedInHeartbeat)) {
     out.mCrashers.push_back(HexId(it));
   }
   return out;
@@ -36,7 +36,7 @@
   TakeHeartbeat(aNode.mView, aHeartbeat, now);
   for (const auto& it : aHeartbeat.mCrashers) {
     if (const auto digest = ParseHexId(it)) {
-      NoteRefusedByPeer(aNode.mCrashers, *digest, now);
+      NoteRefusedByPeer(aNode.mCrashTable, *digest, now);
     }
   }
 }
@@ -142,7 +142,7 @@
     const auto now = Clock::now();
     SettleAssignment(aNode, now);
     ForgetOld(aNode.mAttempts, now);
-    ForgetOldCrashes(aNode.mCrashers, now);
+    ForgetOldCrashes(aNode.mCrashTable, now);
     co_await Sleep(aNode, aNode.mView.mTimes.mPeriod);
   }
 }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -14,7 +14,7 @@
 #include <guavaline/admission/slots.hpp>
 #include <guavaline/attempts/attempts.hpp>
 #include <guavaline/configuration/model.hpp>
-#include <guavaline/crashers/crashers.hpp>
+#include <guavaline/crashes/crash_table.hpp>
 #include <guavaline/membership/membership.hpp>
 #include <guavaline/metrics/metrics.hpp>
 #include <guavaline/steering/shares.hpp>
@@ -117,7 +117,7 @@
   std::map<std::string, boost::intrusive_ptr<Flight>> mFlights;
   std::map<std::string, ServiceState> mServices;
   std::map<std::string, LinkBudget> mLinks; ///< By other region.
-  CrasherTable mCrashers;
+  CrashTable mCrashTable;
   /// Latest incarnation that recalled its loans, by entry; loans of earlier
   /// ones are not taken any more.
   std::map<std::string, std::uint64_t> mRecalledBy;
--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -56,7 +56,7 @@
   }
   for (const auto& it : aTarget.mBroken) {
     const Crash crash{ it.mDigest, aTarget.mLife, it.mStarted, it.mBroke };
-    if (!NoteCrash(aEntry.mCrashers, crash, aNow)) {
+    if (!NoteCrash(aEntry.mCrashTable, crash, aNow)) {
       continue;
     }
     aEntry.mUntoldCrashes.mCrashes.push_back(crash);
@@ -66,7 +66,8 @@
         { "digest", HexId(it.mDigest) },
         { "sign", aSign },
         { "refused_from_now",
-          IsCrasher(aEntry.mCrashers, it.mDigest, aNow) ? "yes" : "no" } });
+          CrashesTargets(aEntry.mCrashTable, it.mDigest, aNow) ? "yes"
+                                                               : "no" } });
   }
   aEntry.mMetrics.Count("target_crashes",
                         "service=\"" + aTarget.mRegistration.mService + "\"");
@@ -125,7 +126,7 @@
 bool NoteGoodRun(Entry& aEntry, std::uint64_t aDigest, TimePoint aNow)
 {
   const ServedRun run{ aDigest, aNow };
-  const bool suspect = NoteServed(aEntry.mCrashers, run);
+  const bool suspect = NoteServed(aEntry.mCrashTable, run);
   if (suspect) {
     aEntry.mUntoldCrashes.mServed.push_back(run);
   }
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -12,7 +12,7 @@
 #include "peers/peer_link.hpp"
 
 #include <guavaline/admission/budgets.hpp>
-#include <guavaline/crashers/crashers.hpp>
+#include <guavaline/crashes/crash_table.hpp>
 #include <guavaline/metrics/metrics.hpp>
 #include <guavaline/placement/placement.hpp>
 #include <guavaline/views/follow.hpp>
@@ -68,7 +68,7 @@
   TimePoint mDisturbed{}; ///< When a connection, entry or the store failed.
   std::map<std::string, RouteRecord> mRoutes;  ///< By route.
   std::map<std::string, RetryBudget> mRetries; ///< By service.
-  CrasherTable mCrashers;
+  CrashTable mCrashTable;
   CrashEvidence mUntoldCrashes;          ///< Not told to other entries yet.
   std::vector<TargetPtr> mBrokenTargets; ///< Those that broke runs lately.
   Metrics mMetrics;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -133,7 +133,7 @@
                          aState.mRuns >= aState.mRoute.mMaxTargets)) {
     return false;
   }
-  return !IsCrasher(aEntry.mCrashers, aState.mDigest, aNow);
+  return !CrashesTargets(aEntry.mCrashTable, aState.mDigest, aNow);
 }
 
 asio::awaitable<LastWord> SendToTargets(Entry& aEntry, RequestState& aState)
@@ -253,9 +253,9 @@
     co_return finish(Reject(aEntry, state, Millis(0), "stopping"), "stopping");
   }
   SetKeys(aEntry, state);
-  if (IsCrasher(aEntry.mCrashers, state.mDigest, now)) {
+  if (CrashesTargets(aEntry.mCrashTable, state.mDigest, now)) {
     co_return finish(Reject(aEntry, state,
-                            RefusedFor(aEntry.mCrashers, state.mDigest, now),
+                            RefusedFor(aEntry.mCrashTable, state.mDigest, now),
                             "crashes"),
                      "crashes_targets");
   }
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -21,7 +21,7 @@
 constexpr Millis kCallTimeout{ 1'000 };
 constexpr Millis kRecordRetry{ 500 };
 constexpr Millis kRecordCheck{ 3'000 };
-constexpr std::size_t kMaxCrashersInHeartbeat = 8;
+constexpr std::size_t kMaxRefusedInHeartbeat = 8;
 /// Weight of the requests of one heartbeat period in the rate.
 constexpr double kRateWeight = 0.5;
 /// Leaves 40 of the 63 bits of an incarnation.
@@ -33,13 +33,13 @@
   EntryHeartbeat out;
   out.mRegion = PackNews(TellNews(aEntry.mRoster, now));
   out.mViews = TellViews(aEntry, now);
-  const auto crashers =
-    ListCrashers(aEntry.mCrashers, now, kMaxCrashersInHeartbeat);
-  for (const auto it : crashers) {
+  const auto refused =
+    ListRefused(aEntry.mCrashTable, now, kMaxRefusedInHeartbeat);
+  for (const auto it : refused) {
     out.mCrashers.push_back(HexId(it));
   }
   const auto crashes =
-    EvidenceOf(aEntry.mCrashers, crashers, now, kMaxCrashersInHeartbeat);
+    EvidenceOf(aEntry.mCrashTable, refused, now, kMaxRefusedInHeartbeat);
   if (!crashes.mCrashes.empty() || !crashes.mServed.empty()) {
     out.mCrashes = PackCrashes(crashes, now);
   }
@@ -50,14 +50,14 @@
 }
 
 /// Takes in which requests a peer refuses.
-void HearCrashers(Entry& aEntry, const EntryHeartbeat& aHeartbeat,
-                  TimePoint aNow)
+void HearRefused(Entry& aEntry, const EntryHeartbeat& aHeartbeat,
+                 TimePoint aNow)
 {
   const auto evidence = aHeartbeat.mCrashes
                           ? UnpackCrashes(*aHeartbeat.mCrashes, aNow)
                           : std::nullopt;
   if (evidence) {
-    HearEvidence(aEntry.mCrashers, *evidence, aNow);
+    HearEvidence(aEntry.mCrashTable, *evidence, aNow);
   }
   for (const auto& it : aHeartbeat.mCrashers) {
     const auto digest = ParseHexId(it);
@@ -67,7 +67,7 @@
                   [&](const Crash& a) { return a.mDigest == digest; });
     // Entries of earlier builds tell no more than the digest.
     if (digest && !shown) {
-      NoteRefusedByPeer(aEntry.mCrashers, *digest, aNow);
+      NoteRefusedByPeer(aEntry.mCrashTable, *digest, aNow);
     }
   }
 }
@@ -88,7 +88,7 @@
   }
   const auto now = Clock::now();
   HearNews(aEntry.mRoster, *news, now);
-  HearCrashers(aEntry, heartbeat, now);
+  HearRefused(aEntry, heartbeat, now);
   HearLimits(aEntry, heartbeat.mLimits.value_or(std::vector<LimitNews>()), now);
   return HearViews(aEntry, heartbeat.mViews, now);
 }
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -303,7 +303,7 @@
   if (!evidence) {
     return;
   }
-  const auto fresh = HearEvidence(aEntry.mCrashers, *evidence, now);
+  const auto fresh = HearEvidence(aEntry.mCrashTable, *evidence, now);
   if (message.mPassOn && (!fresh.mCrashes.empty() || !fresh.mServed.empty())) {
     PushCrashNews(aEntry, fresh, false);
   }
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -122,7 +122,7 @@
     const auto now = Clock::now();
     SettleViews(aEntry, now);
     ForgetLapsed(aEntry.mRegistry, now);
-    ForgetOldCrashes(aEntry.mCrashers, now);
+    ForgetOldCrashes(aEntry.mCrashTable, now);
     ForgetBrokenRuns(aEntry, now);
     NoteLiveEntries(aEntry, now);
     ServeByLoad(aEntry, now);
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -100,7 +100,7 @@
     const auto time = std::chrono::duration_cast<Millis>(now - aStarted);
     NoteSuccess(health, time, now);
     NoteServiceTime(state, aCall.mClass.mName, time);
-    NoteServed(aNode.mCrashers, { aCall.mDigest, now });
+    NoteServed(aNode.mCrashTable, { aCall.mDigest, now });
     if (!FindHeader(aResult.mResponse->mHeaders, kTargetLeavingHeader)
            .empty()) {
       NoteSaidLeaving(health);
@@ -117,7 +117,7 @@
     const auto life =
       HashPair(Hash(aHold.Held().mName),
                static_cast<std::uint64_t>(aStarted.time_since_epoch().count()));
-    NoteCrash(aNode.mCrashers, { aCall.mDigest, life, aStarted, now }, now);
+    NoteCrash(aNode.mCrashTable, { aCall.mDigest, life, aStarted, now }, now);
   }
   Log(LogLevel::Warning, "exchange_failed",
       { { "service", aCall.mService },
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -95,7 +95,7 @@
     if (n == 1) {
       NoteRequest(retries);
     } else if (!TakeRetry(retries) || Clock::now() >= aCall.mDeadline ||
-               IsCrasher(aNode.mCrashers, aCall.mDigest, Clock::now())) {
+               CrashesTargets(aNode.mCrashTable, aCall.mDigest, Clock::now())) {
       break;
     }
     if (auto response = co_await TryOnce(aNode, aCall, n == kMaxTries)) {
@@ -168,7 +168,7 @@
   call.mIdentity = FindHeader(aRequest.mHeaders, kIdentityHeader);
   call.mRequest = std::move(aRequest);
   call.mRequest.mTarget = TargetPath(call.mRequest.mTarget);
-  if (IsCrasher(aNode.mCrashers, call.mDigest, call.mStarted)) {
+  if (CrashesTargets(aNode.mCrashTable, call.mDigest, call.mStarted)) {
     auto out = Refusal(422, "no", "crashes_targets");
     NoteEnd(aNode, call, out);
     co_return out;
--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -52,7 +52,7 @@
 
   [[nodiscard]] std::size_t Suspects() const
   {
-    return mEntry.mCrashers.mRecords.size();
+    return mEntry.mCrashTable.mRecords.size();
   }
 };
 
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -308,8 +308,8 @@
   cr_assert_eq(aBed.Send("2000", "/x/bad").mStatus, 502U);
   aBed.mTargets.back()->StopListening();
   cr_assert_eq(aBed.Send("2000", "/x/good").mStatus, 503U);
-  cr_assert_eq(aBed.mEntry.mCrashers.mRecords.size(), 1U);
-  return aBed.mEntry.mCrashers.mRecords.begin()->first;
+  cr_assert_eq(aBed.mEntry.mCrashTable.mRecords.size(), 1U);
+  return aBed.mEntry.mCrashTable.mRecords.begin()->first;
 }
 
 } // namespace
@@ -343,7 +343,7 @@
       return { refusal };
     });
     cr_assert_neq(bed.Send("2000", "/x/bad").mStatus, 200U);
-    cr_assert_eq(bed.mEntry.mCrashers.mRecords.count(digest), 1U, "%s",
+    cr_assert_eq(bed.mEntry.mCrashTable.mRecords.count(digest), 1U, "%s",
                  refusal);
   }
 }
