--- a/tests/unit/odd_objects_test.cpp
+++ b/tests/unit/odd_objects_test.cpp
@@ -49,9 +49,10 @@
 // empty view, or followed no change any more.
 Test(odd_objects, an_odd_registration_costs_itself_alone, .timeout = 60)
 {
-  for (const auto& [name, object] : OddObjects()) {
+  for (const auto& odd : OddObjects()) {
+    const auto& name = odd.first;
     tests::FollowingEntries entries;
-    entries.Store().Put("servers", name, object);
+    entries.Store().Put("servers", name, odd.second);
     entries.Store().Put("servers", "t2", TargetObject("ready", 20));
     cr_assert(entries.Await(
                 [](Entry& a) { return Serves(a, "t1") && Serves(a, "t2"); }),
