Begin no return of the soak's store after the time of trouble

A return is dropped once trouble is over, and its registrations lapse within the time that is planned.

--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -122,7 +122,7 @@
     if (!step.mReturns && !step.mLapses && aNow < aEnd) {
       mWorld.KeepStoreCopy();
       step.mReturns = aNow + Millis(wait(mRestoreRandom));
-    } else if (step.mReturns && aNow >= *step.mReturns) {
+    } else if (step.mReturns && aNow >= *step.mReturns && aNow < aEnd) {
       step.mReturns.reset();
       step.mLapses = aNow + kLapseTime;
       step.mRecord = mHistory.mImpairments.size();
