--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,6 +7,10 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
 from deployment import *  # noqa: E402,F403
 
+# The machines of the site, by zone.
+MACHINES = {"lowell-a": 2, "lowell-b": 1, "portland-a": 3, "portland-b": 1,
+            "hartford-a": 3, "hartford-b": 2}
+ZONES = {zone: zone.partition("-")[0] for zone in MACHINES}
 FORGET_S = 4.0 + 3.0  # RULES.md, DRAIN: `stability_window` + 3 s
 ANSWERS_MOST = 3      # "More than three answers"
 WATCHED_S = 40.0      # from the loss on
@@ -34,17 +38,16 @@
 
 
 async def case(record, deployments):
-    d = Deployment(record)
+    d = Deployment(record, ZONES)
     deployments.append(d)
     await d.start_store()
     d.store.put("config", "main", configuration(
         7, [route("read", "idempotent", "plates"),
             route("confirm", "non_idempotent", "plates"), service("plates")]))
-    for n in range(4):
-        zone = "lowell-a" if n % 2 == 0 else "lowell-b"
+    for n, zone in enumerate(ZONES):
         await d.add_backend(Backend(record, f"i-{n}", "plates", zone, 0.1))
-    entries = [await d.add_entry(f"edge-{n + 1}", zone) for n, zone in
-               enumerate(["lowell-a", "lowell-a", "lowell-b", "lowell-b"])]
+    entries = [await d.add_entry(f"edge-{zone}-{n + 1}", zone)
+               for zone, count in MACHINES.items() for n in range(count)]
     for entry in entries:
         require(await entry.await_ready(), f"{entry.name} is not ready")
     await asyncio.sleep(6)
