Read times and numbers with a decimal fraction

A route's time-out of 1.5s was none; a target that said cold_remaining 2.5s got full traffic.

Cause: ParseDuration read whole numbers only. In objects of the store the same text was dropped without a line.

Ruled out: a settings file read halfway; settings_refused names the same field and text each time.

Change: numbers of durations and rates may have a fraction, rounded to the smallest unit, never to zero. Settings for whole quantities may be written as 4100.0 and optional ones may be empty. max_header_bytes does not wrap around at 2^32. A caller's time limit of 0 is no time, and one near 2^63 does not overflow.

--- a/include/guavaline/core/units.hpp
+++ b/include/guavaline/core/units.hpp
@@ -19,14 +19,20 @@
   bool operator==(const BitRate&) const = default;
 };
 
-/// Reads a duration such as "250ms", "3s", "15m", "2h" or "7d".
+/// Reads a duration such as "250ms", "2.5s", "15m", "2h" or "7d", to the
+/// millisecond.
 /// @returns nothing where the unit is missing or unknown
 [[nodiscard]] std::optional<Millis> ParseDuration(std::string_view aText);
 
+/// Reads a count of milliseconds as callers' time limits have it; what follows
+/// the whole number is ignored.
+/// @returns at most a day; nothing where there is no number
+[[nodiscard]] std::optional<Millis> ParseMillis(std::string_view aText);
+
 /// Writes a duration in its largest whole unit.
 [[nodiscard]] std::string FormatDuration(Millis aDuration);
 
-/// Reads a rate such as "280Mbit/s" or "4Gbit/s".
+/// Reads a rate such as "280Mbit/s" or "2.5Gbit/s".
 [[nodiscard]] std::optional<BitRate> ParseBitRate(std::string_view aText);
 
 /// Writes a rate in its largest whole unit.
--- a/src/core/units.cpp
+++ b/src/core/units.cpp
@@ -1,7 +1,9 @@
 #include <guavaline/core/units.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace guavaline {
@@ -21,26 +23,37 @@
 constexpr std::array kRateUnits{ Unit{ "Gbit/s", 1'000'000'000 },
                                  Unit{ "Mbit/s", 1'000'000 },
                                  Unit{ "kbit/s", 1'000 }, Unit{ "bit/s", 1 } };
-constexpr std::uint64_t kLargestQuantity = 1ULL << 52;
+/// Longer times are taken as this, so that sums of times do not overflow.
+constexpr Millis kLongestParsed{ 86'400'000 };
+constexpr double kLargestQuantity = 4'503'599'627'370'496; // 2^52
 
+bool IsDigit(char aChar) noexcept
+{
+  return aChar >= '0' && aChar <= '9';
+}
+
+/// Reads a number, whole or with a decimal fraction, and its unit. Rounds to
+/// the smallest unit; what is more than zero never reads as zero.
 template<std::size_t N>
 std::optional<std::uint64_t> ParseQuantity(std::string_view aText,
                                            const std::array<Unit, N>& aUnits)
 {
-  std::uint64_t n = 0;
-  const auto [end, ec] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), n);
-  if (ec != std::errc{}) {
+  double n = 0;
+  const auto [end, ec] = std::from_chars(
+    aText.data(), aText.data() + aText.size(), n, std::chars_format::fixed);
+  if (ec != std::errc{} || !IsDigit(aText.front()) || !IsDigit(end[-1])) {
     return std::nullopt;
   }
-  const auto used = static_cast<std::size_t>(end - aText.data());
-  const auto suffix = aText.substr(used);
+  const auto suffix =
+    aText.substr(static_cast<std::size_t>(end - aText.data()));
   for (const auto& it : aUnits) {
     if (it.mSuffix == suffix) {
-      if (n > kLargestQuantity / it.mFactor) {
+      const double quantity = n * static_cast<double>(it.mFactor);
+      if (quantity > kLargestQuantity) {
         return std::nullopt;
       }
-      return n * it.mFactor;
+      const double least = n > 0 ? 1 : 0;
+      return static_cast<std::uint64_t>(std::max(std::round(quantity), least));
     }
   }
   return std::nullopt;
@@ -69,6 +82,20 @@
   return Millis(static_cast<Millis::rep>(*n));
 }
 
+std::optional<Millis> ParseMillis(std::string_view aText)
+{
+  Millis::rep n = 0;
+  const auto read =
+    std::from_chars(aText.data(), aText.data() + aText.size(), n);
+  if (read.ec == std::errc::result_out_of_range) {
+    return aText.front() == '-' ? std::nullopt : std::optional(kLongestParsed);
+  }
+  if (read.ec != std::errc{} || n < 0) {
+    return std::nullopt;
+  }
+  return std::min(Millis(n), kLongestParsed);
+}
+
 std::string FormatDuration(Millis aDuration)
 {
   return FormatQuantity(static_cast<std::uint64_t>(aDuration.count()),
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -3,9 +3,9 @@
 #include "entry/request_state.hpp"
 
 #include <guavaline/core/hash.hpp>
+#include <guavaline/core/units.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace guavaline::detail {
 
@@ -173,11 +173,8 @@
 
 Millis TimeLeft(const HeaderNames& aNames, const HttpRequest& aRequest)
 {
-  const auto text = FindHeader(aRequest.mHeaders, aNames.mTimeLeft);
-  std::int64_t n = 0;
-  const auto result =
-    std::from_chars(text.data(), text.data() + text.size(), n);
-  return result.ec == std::errc{} && n > 0 ? Millis(n) : kDefaultLimit;
+  return ParseMillis(FindHeader(aRequest.mHeaders, aNames.mTimeLeft))
+    .value_or(kDefaultLimit);
 }
 
 /// Callers of a route start with one time limit; one that has used some of it
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -7,8 +7,9 @@
 #include "forwarding/placement.hpp"
 
 #include <guavaline/core/hash.hpp>
+#include <guavaline/core/units.hpp>
 
-#include <charconv>
+#include <algorithm>
 
 namespace guavaline::detail {
 
@@ -45,14 +46,9 @@
 
 Millis TimeLimit(const HttpRequest& aRequest, const RequestClass& aClass)
 {
-  const auto text = FindHeader(aRequest.mHeaders, kTimeoutHeader);
-  std::int64_t n = 0;
-  const auto result =
-    std::from_chars(text.data(), text.data() + text.size(), n);
-  auto limit = aClass.mDeadline;
-  if (result.ec == std::errc{} && n > 0) {
-    limit = std::min(Millis(n), limit);
-  }
+  const auto asked = ParseMillis(FindHeader(aRequest.mHeaders, kTimeoutHeader));
+  const auto limit =
+    std::min(asked.value_or(aClass.mDeadline), aClass.mDeadline);
   // The answer must reach the caller while it still waits.
   return limit - std::max(limit / kReplyPart, kMinReplyTime);
 }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -81,6 +81,23 @@
   cr_assert_float_eq(settings.mLimits.mLinkMegabits, 1'000, 1e-9);
 }
 
+Test(platform, settings_may_have_fractions_and_empty_optional_fields)
+{
+  // A change of the settings to "2.5s" let no process start again.
+  detail::EntrySettings settings;
+  auto text = With(kSettings, "drain=2500ms", "drain=2.5s,evac=");
+  text = With(text, "max_fds=4100", "max_fds=4100.0");
+  text = With(text, "limits.cores=2", "limits.cores=");
+  const auto problems = ParseSettings("node.conf", text, 9464, settings);
+  cr_assert(problems.empty(), "%s",
+            problems.empty() ? "" : problems[0].Describe().c_str());
+  cr_assert_eq(settings.mBounds.mTargetAge, 2500ms);
+  cr_assert_eq(settings.mBounds.mEvacuationAge, 5s);
+  cr_assert_eq(settings.mLimits.mMaxDescriptors, 4'100U);
+  text = With(kSettings, "max_fds=4100", "max_fds=-1");
+  cr_assert_eq(ParseSettings("node.conf", text, 0, settings).size(), 1U);
+}
+
 Test(platform, a_problem_names_file_line_and_field)
 {
   detail::EntrySettings settings;
@@ -122,13 +139,26 @@
   cr_assert_not(target->mDraining);
 }
 
+Test(platform, a_cold_time_with_a_fraction_is_no_warm_target)
+{
+  // It was read as none, and the target got full traffic.
+  const std::string text(kTarget);
+  const auto cold = [&](const std::string& aTime) {
+    return ReadTarget(MakeObject(With(text, "1500ms", aTime)))->mColdLeft;
+  };
+  cr_assert_eq(cold("2.5s"), 2'500ms);
+  cr_assert_eq(cold(""), 0ms);
+}
+
 Test(platform, an_object_of_another_writer_names_no_target)
 {
   const std::string text(kTarget);
   for (const auto& it :
        { std::string("not json"), std::string("[]"), std::string("{}"),
          With(text, "\"ready\"", "\"resting\""), With(text, "6}", "\"6\"}"),
-         With(text, "6}", "-1}"), With(text, "10.128.0.9:8080", "nowhere"),
+         With(text, "6}", "-1}"), With(text, "1500ms", "soon"),
+         With(text, "\"1500ms\"", "1500"),
+         With(text, "10.128.0.9:8080", "nowhere"),
          With(text, "\"zone\":\"lowell-a\"", "\"zone\":7") }) {
     cr_assert_not(ReadTarget(MakeObject(it)).has_value(), "%s", it.c_str());
   }
@@ -153,6 +183,16 @@
   cr_assert_eq(table->mLimits.mIdleTimeout, 15s);
 }
 
+Test(platform, times_and_limits_of_a_configuration_may_have_any_allowed_value)
+{
+  // A time-out of "1.5s" was read as none.
+  const std::string text(kConfiguration);
+  auto table = ReadRouting(MakeObject(With(text, "2000ms", "1.5s")));
+  cr_assert_eq(table->mRoutes.at(0).mTimeout, 1'500ms);
+  table = ReadRouting(MakeObject(With(text, ":8192", ":4294967296")));
+  cr_assert_gt(table->mLimits.mMaxHeaderBytes, 8'192U);
+}
+
 Test(platform, a_configuration_that_cannot_be_read_whole_is_not_taken)
 {
   const std::string text(kConfiguration);
