Count others' silence only while the entry has contact itself

Cause: an entry that hears no other took that for its own isolation and believed all others alive; the last one hears nobody, as nobody is left.

Ruled out: records that stay in the store. With two entries left the records stay as long, and look-ups do not name the lost ones.

Change: contact is an answer of the store or of another entry, or a refused connection of another entry's host. Silence counts while there is contact and stands still in isolation, so an entry that wakes or is cut off neither declares others dead nor brings back those that it knew to be lost. The same for records to remove. An entry of another region that has been silent for 12 s is no longer named to its region's callers, who were led to a lost region alone for ever.

Logs: isolated, contact_regained.

--- a/include/guavaline/roster/roster.hpp
+++ b/include/guavaline/roster/roster.hpp
@@ -63,7 +63,9 @@
   bool mLeaving = false;
   std::map<std::string, RosterEntry> mOthers; ///< By name.
   std::size_t mMaxSeen = 1; ///< Most entries known at once in this life.
-  TimePoint mLastHeard{};   ///< When any news of another entry came.
+  /// When the network last proved to work: another entry or the store
+  /// answered.
+  TimePoint mLastContact{};
 };
 
 /// Time between heartbeats, from the bound on how long a directory may name
@@ -71,8 +73,21 @@
 inline constexpr Millis kHeartbeatPeriod{ 600 };
 /// Silence after which an entry is taken as dead.
 inline constexpr Millis kEntrySilence{ 4'000 };
-/// Silence after which the record of an entry is removed from the store.
+/// Silence after which the record of an entry is removed from the store, and
+/// after which an entry of another region, which is heard of less often, is no
+/// longer named.
 inline constexpr Millis kForgetSilence{ 12'000 };
+/// Time without contact after which an entry takes itself for isolated. Calls
+/// to the store are closer together.
+inline constexpr Millis kContactGap{ 3'000 };
+
+/// Notes that the network works. Others' silence counts only while it does, so
+/// a time of isolation is left out of it.
+void NoteContact(Roster& aRoster, TimePoint aNow);
+
+/// @returns true where neither entries nor the store were heard lately, so that
+///          silence says nothing of others
+[[nodiscard]] bool IsIsolated(const Roster& aRoster, TimePoint aNow) noexcept;
 
 /// Takes in a stored record.
 void TakeRecord(Roster& aRoster, const EntryRecord& aRecord, TimePoint aNow);
--- a/src/daemon/handover.cpp
+++ b/src/daemon/handover.cpp
@@ -20,7 +20,6 @@
 /// A host is replaced within this time, or its slots stay idle.
 constexpr Millis kOfferTerm{ 120'000 };
 constexpr Millis kLoanMargin{ 500 };
-constexpr const char* kConnectionRefused = "Connection refused";
 
 std::uint32_t LentIn(const ServiceState& aState, const std::string& aRegion)
 {
@@ -55,7 +54,7 @@
     co_return sameIndices || message.mLoans.empty();
   }
   // Where no process listens, nobody holds a loan.
-  co_return reply.mError.mReason == kConnectionRefused;
+  co_return IsRefused(reply);
 }
 
 /// Peers to give slots of a region to: those of the region where there are
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -57,6 +57,7 @@
   TargetRegistry mRegistry;
   Roster mRoster;
   std::set<std::string> mLiveEntries; ///< Of the region, as last logged.
+  bool mIsolated = true;              ///< As last logged.
   std::map<ObjectKind, FollowState> mFollows;
   StoreAccess mStoreAccess; ///< By calls of all kinds.
   /// The latest epoch that the store or another entry told of.
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -177,6 +177,9 @@
           { "call", aCall },
           { "objects", std::to_string(aReply.mUnreadable) } });
   }
+  if (worked) {
+    NoteContact(aEntry.mRoster, aNow);
+  }
   // Of whatever kind the first call is that works, it ends the outage.
   if (InOutage(aEntry.mStoreAccess, aNow)) {
     NoteRegistryTrouble(aEntry.mRegistry, aNow);
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -102,6 +102,9 @@
   const std::string body = MakeHeartbeat(aEntry);
   const auto reply = co_await aEntry.mPeers.Call(
     *endpoint, kHeartbeatKind, body, kCallTimeout, aPeer.mPeerKey);
+  if (IsRefused(reply)) {
+    NoteContact(aEntry.mRoster, Clock::now());
+  }
   const auto newer = reply.mBody ? TakeIn(aEntry, *reply.mBody) : std::nullopt;
   if (!newer) {
     Log(LogLevel::Debug, "heartbeat_failed",
@@ -189,6 +192,14 @@
   tell(aEntry.mLiveEntries, live, LogLevel::Warning, "entry_silent");
   tell(live, aEntry.mLiveEntries, LogLevel::Info, "entry_heard");
   aEntry.mLiveEntries = std::move(live);
+  const bool isolated = IsIsolated(aEntry.mRoster, aNow);
+  if (isolated != aEntry.mIsolated) {
+    Log(isolated ? LogLevel::Warning : LogLevel::Info,
+        isolated ? "isolated" : "contact_regained",
+        { { "live", std::to_string(aEntry.mLiveEntries.size()) },
+          { "known", std::to_string(aEntry.mRoster.mOthers.size() + 1) } });
+    aEntry.mIsolated = isolated;
+  }
 }
 
 asio::awaitable<void> ExchangeHeartbeats(Entry& aEntry)
--- a/src/peers/peer_link.hpp
+++ b/src/peers/peer_link.hpp
@@ -21,6 +21,12 @@
   Error mError;
 };
 
+/// @returns true where the peer's host answered that no process listens
+[[nodiscard]] inline bool IsRefused(const PeerReply& aReply)
+{
+  return aReply.mError.mReason == "Connection refused";
+}
+
 /// Makes the reply that says why there is none.
 [[nodiscard]] inline PeerReply NoReply(std::string aStep, std::string aPeer,
                                        std::string aReason)
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -18,14 +18,18 @@
 /// no longer named send as much as one of this many that are.
 constexpr std::size_t kNamedPerStraggler = 5;
 
+/// @returns how long an entry has been silent. In isolation that stays what it
+///          was at the last contact.
+Millis SilenceOf(const Roster& aRoster, const RosterEntry& aEntry,
+                 TimePoint aNow)
+{
+  const auto known = IsIsolated(aRoster, aNow) ? aRoster.mLastContact : aNow;
+  return std::chrono::ceil<Millis>(known - aEntry.mHeard);
+}
+
 bool IsLive(const Roster& aRoster, const RosterEntry& aEntry, TimePoint aNow)
 {
-  if (aEntry.mLeaving) {
-    return false;
-  }
-  // An entry that hears nobody is cut off itself and cannot tell.
-  const bool deaf = aNow - aRoster.mLastHeard > kEntrySilence;
-  return deaf || aNow - aEntry.mHeard <= kEntrySilence;
+  return !aEntry.mLeaving && SilenceOf(aRoster, aEntry, aNow) <= kEntrySilence;
 }
 
 bool InOwnRegion(const Roster& aRoster, const RosterEntry& aEntry)
@@ -41,6 +45,22 @@
 
 } // namespace
 
+void NoteContact(Roster& aRoster, TimePoint aNow)
+{
+  if (aRoster.mLastContact != TimePoint{} && IsIsolated(aRoster, aNow)) {
+    const auto isolated = aNow - aRoster.mLastContact;
+    for (auto& [name, entry] : aRoster.mOthers) {
+      entry.mHeard = std::min(entry.mHeard + isolated, aNow);
+    }
+  }
+  aRoster.mLastContact = std::max(aRoster.mLastContact, aNow);
+}
+
+bool IsIsolated(const Roster& aRoster, TimePoint aNow) noexcept
+{
+  return aNow - aRoster.mLastContact > kContactGap;
+}
+
 void TakeRecord(Roster& aRoster, const EntryRecord& aRecord, TimePoint aNow)
 {
   if (aRecord.mName == aRoster.mSelf.mName) {
@@ -79,6 +99,7 @@
 void HearNews(Roster& aRoster, const std::vector<EntryNews>& aNews,
               TimePoint aNow)
 {
+  NoteContact(aRoster, aNow);
   for (const auto& it : aNews) {
     const auto entry = aRoster.mOthers.find(it.mName);
     if (entry == aRoster.mOthers.end() ||
@@ -90,7 +111,6 @@
     entry->second.mLeaving = it.mLeaving;
     entry->second.mRate = it.mRate;
     entry->second.mHeard = aNow;
-    aRoster.mLastHeard = aNow;
   }
 }
 
@@ -219,9 +239,9 @@
     add(aRoster.mSelf);
   }
   for (const auto& [name, entry] : aRoster.mOthers) {
-    // Heartbeats stay within a region: of others only the record is known.
+    // Of another region, only now and then a heartbeat comes.
     if (!InOwnRegion(aRoster, entry)
-          ? !entry.mLeaving
+          ? !entry.mLeaving && SilenceOf(aRoster, entry, aNow) < kForgetSilence
           : serves(name) && IsLive(aRoster, entry, aNow)) {
       add(entry.mRecord);
     }
@@ -299,11 +319,12 @@
 std::vector<EntryRecord> RecordsToRemove(const Roster& aRoster, TimePoint aNow)
 {
   std::vector<EntryRecord> out;
-  if (aRoster.mLeaving || aNow - aRoster.mLastHeard > kEntrySilence) {
+  if (aRoster.mLeaving || IsIsolated(aRoster, aNow)) {
     return out;
   }
   for (const auto& [name, entry] : aRoster.mOthers) {
-    if (!InOwnRegion(aRoster, entry) || aNow - entry.mHeard < kForgetSilence) {
+    if (!InOwnRegion(aRoster, entry) ||
+        SilenceOf(aRoster, entry, aNow) < kForgetSilence) {
       continue;
     }
     // One live entry of the region removes it: the one with the highest hash.
--- a/tests/unit/roster_test.cpp
+++ b/tests/unit/roster_test.cpp
@@ -32,6 +32,12 @@
   return out;
 }
 
+/// @returns a heartbeat's counter that grows with time
+std::uint64_t Count(TimePoint aNow)
+{
+  return static_cast<std::uint64_t>((aNow - kNow).count()) + 2;
+}
+
 bool Names(const std::vector<std::string>& aList, const EntryRecord& aRecord)
 {
   return std::find(aList.begin(), aList.end(), aRecord.mCallerAddress) !=
@@ -113,6 +119,73 @@
   cr_assert(RecordsToRemove(roster, kNow + 1min).empty());
 }
 
+Test(roster, the_last_entry_left_names_no_lost_ones)
+{
+  // It hears nobody as nobody is left, took that for its own isolation, and led
+  // callers to lost entries for ever. The store's answers tell the two apart.
+  auto roster = MakeRoster(0, 3, "r1");
+  HearNews(roster, { { "e101", 7, 5, false }, { "e102", 7, 5, false } }, kNow);
+  for (auto now = kNow; now <= kNow + 13s; now += 2s) {
+    NoteContact(roster, now);
+  }
+  cr_assert_eq(EntriesFor(roster, "r1", kNow + 4s).size(), 3U);
+  // The platform's bound: stability window and three seconds.
+  const auto list = EntriesFor(roster, "r1", kNow + 7s);
+  cr_assert_eq(list.size(), 1U);
+  cr_assert(Names(list, roster.mSelf));
+  cr_assert_eq(RecordsToRemove(roster, kNow + 13s).size(), 2U);
+}
+
+Test(roster, silence_does_not_count_while_isolated)
+{
+  // A process that was paused, or whose host was cut off, wakes before its
+  // peers' heartbeats come.
+  auto roster = MakeRoster(0, 3, "r1");
+  HearNews(roster, { { "e101", 7, 5, false } }, kNow);
+  const auto woken = kNow + 30s;
+  NoteContact(roster, woken);
+  cr_assert_eq(EntriesFor(roster, "r1", woken).size(), 3U);
+  NoteContact(roster, woken + 2s);
+  cr_assert_eq(EntriesFor(roster, "r1", woken + 2s).size(), 3U);
+  NoteContact(roster, woken + 4500ms);
+  cr_assert_eq(EntriesFor(roster, "r1", woken + 4500ms).size(), 1U);
+}
+
+Test(roster, an_entry_lost_before_an_isolation_stays_lost)
+{
+  auto roster = MakeRoster(0, 3, "r1");
+  for (auto now = kNow; now <= kNow + 6s; now += 1s) {
+    HearNews(roster, { { "e101", 7, Count(now), false } }, now);
+  }
+  const auto lost = MakeRecord(2, "r1");
+  cr_assert_not(Names(EntriesFor(roster, "r1", kNow + 6s), lost));
+  cr_assert_not(Names(EntriesFor(roster, "r1", kNow + 30s), lost));
+  NoteContact(roster, kNow + 30s);
+  const auto list = EntriesFor(roster, "r1", kNow + 30s);
+  cr_assert_not(Names(list, lost));
+  cr_assert_eq(list.size(), 2U);
+}
+
+Test(roster, callers_of_a_lost_region_are_led_to_another)
+{
+  // Only the region's own entries removed its records, so that its callers
+  // were led to dead hosts alone for ever.
+  auto roster = MakeRoster(0, 3, "r1");
+  TakeRecord(roster, MakeRecord(9, "r2"), kNow);
+  for (auto now = kNow; now <= kNow + 20s; now += 1s) {
+    HearNews(roster,
+             { { "e101", 7, Count(now), false },
+               { "e109", 7, now < kNow + 6s ? Count(now) : 1, false } },
+             now);
+  }
+  const auto before = EntriesFor(roster, "r2", kNow + 10s);
+  cr_assert_eq(before.size(), 1U);
+  cr_assert(Names(before, MakeRecord(9, "r2")));
+  cr_assert_not(
+    Names(EntriesFor(roster, "r2", kNow + 20s), MakeRecord(9, "r2")));
+  cr_assert_eq(EntriesFor(roster, "r2", kNow + 20s).size(), 2U);
+}
+
 Test(roster, limits_are_shared_by_the_most_entries_that_were_seen)
 {
   auto roster = MakeRoster(0, 12, "r1");
