End an exchange at its deadline also while bytes always wait

Cause: the deadline was the expiry of the stream, which ends a read that waits for bytes. The loop around it looked at no clock; Beast's async_read_some loops itself while its parser needs more.

Ruled out: a deadline that is not set on kept connections. Bodies in large pieces meet the bound of 32 MB in time.

Change: ReadMessage reads once, parses all there is, and looks at the clock before each step, for answers and for callers' requests, in entries, guavalined and the store's client. A deadline that passes after the answer had begun counts as a failure of the target; exchange_failed says so (answer_began).

--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -162,10 +162,11 @@
 }
 
 /// @returns true where an exchange without an answer shows a fault; a deadline
-///          that passes at a connected target may come of load alone
+///          that passes at a connected target may come of load alone, unless
+///          its answer had begun
 bool ShowsFault(const ExchangeResult& aResult) noexcept
 {
-  return aResult.mConnectFailed || !aResult.mTimedOut;
+  return aResult.mConnectFailed || !aResult.mTimedOut || aResult.mAnswerBegan;
 }
 
 /// Learns from an exchange that brought no answer.
@@ -178,7 +179,7 @@
   }
   if (aResult.mConnectFailed) {
     NoteUnreachable(aTarget.mLoad, aNow);
-  } else if (!aResult.mTimedOut) {
+  } else if (ShowsFault(aResult)) {
     NoteFailed(aTarget.mLoad, aNow);
   }
   NoteBreak(aEntry, aState, aResult, aStarted, aNow);
@@ -190,6 +191,7 @@
                { "peer", aResult.mError.mPeer },
                { "error", aResult.mError.mReason },
                { "reused", aResult.mReused ? "yes" : "no" },
+               { "answer_began", aResult.mAnswerBegan ? "yes" : "no" },
                { "may_have_run", aResult.mMayHaveReached ? "yes" : "no" } });
 }
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -399,6 +399,7 @@
   if (ec) {
     const bool unsent = sending->mDone && sending->mError;
     result.mTimedOut = ec == beast::error::timeout;
+    result.mAnswerBegan = parser->is_header_done();
     result.mCancelled = ec == asio::error::operation_aborted;
     result.mError = ErrorOf(unsent ? "send" : "receive", aEndpoint,
                             unsent ? sending->mError : ec);
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -53,6 +53,7 @@
   /// False only where no byte of the request can have reached the peer.
   bool mMayHaveReached = false;
   bool mTimedOut = false;
+  bool mAnswerBegan = false; ///< A head came, and not the whole answer.
   bool mConnectFailed = false;
   bool mCancelled = false; ///< By this side, such as when a caller left.
   bool mReused = false;    ///< A kept connection was used.
--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -11,7 +11,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/basic_parser.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/error.hpp>
 
 #include <algorithm>
 
@@ -147,12 +147,62 @@
   std::uint64_t mBytes = 0;
 };
 
+/// Bytes that are read at once.
+inline constexpr std::size_t kLeastReadBytes = 512;
+inline constexpr std::size_t kMostReadBytes = 65'536;
+
 /// How far a message is read.
 enum class ReadGoal {
   Header = 1,
   End,
 };
 
+/// Parses what was read.
+/// @returns true where more bytes are needed
+template<bool kRequest>
+bool ParseSome(boost::beast::flat_buffer& aBuffer,
+               MessageParser<kRequest>& aParser,
+               boost::beast::error_code& aError)
+{
+  if (aBuffer.size() == 0) {
+    return true;
+  }
+  aBuffer.consume(aParser.put(aBuffer.data(), aError));
+  const bool more = aError == boost::beast::http::error::need_more;
+  if (more) {
+    aError = {};
+  }
+  return more;
+}
+
+/// Reads some bytes, or the end of the connection.
+template<bool kRequest>
+boost::asio::awaitable<boost::beast::error_code> ReadSome(
+  boost::beast::tcp_stream& aStream, boost::beast::flat_buffer& aBuffer,
+  MessageParser<kRequest>& aParser)
+{
+  namespace asio = boost::asio;
+  // A connection that is kept does not hold on to a large buffer.
+  const auto wanted =
+    std::max(kLeastReadBytes, aBuffer.capacity() - aBuffer.size());
+  const auto room =
+    std::min({ wanted, kMostReadBytes, aBuffer.max_size() - aBuffer.size() });
+  if (room == 0) {
+    co_return boost::beast::http::error::buffer_overflow;
+  }
+  boost::beast::error_code ec;
+  const auto n = co_await aStream.async_read_some(
+    aBuffer.prepare(room), asio::redirect_error(asio::use_awaitable, ec));
+  aBuffer.commit(n);
+  if (ec == asio::error::eof) {
+    ec = boost::beast::http::error::end_of_stream;
+    if (aParser.got_some()) {
+      aParser.put_eof(ec);
+    }
+  }
+  co_return ec;
+}
+
 /// Reads a message up to its goal.
 /// @param aDeadline  holds for the whole of it: the stream's own expiry never
 ///                   ends a read for which bytes wait already
@@ -164,7 +214,6 @@
   MessageParser<kRequest>& aParser, ReadGoal aGoal, TimePoint aDeadline,
   BufferedPart& aPart)
 {
-  namespace asio = boost::asio;
   const auto reached = [&] {
     return aGoal == ReadGoal::Header ? aParser.is_header_done()
                                      : aParser.is_done();
@@ -173,15 +222,15 @@
   aParser.eager(aGoal == ReadGoal::End);
   aStream.expires_at(aDeadline);
   while (!ec && !reached()) {
-    co_await boost::beast::http::async_read_some(
-      aStream, aBuffer, aParser, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-      break;
+    if (Clock::now() >= aDeadline) {
+      co_return boost::beast::error::timeout;
+    }
+    if (!ParseSome(aBuffer, aParser, ec) || ec || reached()) {
+      continue;
     }
-    if (!aPart.GrowTo(aParser.HeldBytes() + aBuffer.size())) {
-      ec = asio::error::no_buffer_space;
-    } else if (!reached() && Clock::now() >= aDeadline) {
-      ec = boost::beast::error::timeout;
+    ec = co_await ReadSome(aStream, aBuffer, aParser);
+    if (!ec && !aPart.GrowTo(aParser.HeldBytes() + aBuffer.size())) {
+      ec = boost::asio::error::no_buffer_space;
     }
   }
   co_return ec;
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -31,9 +31,9 @@
   int mConnections = 0;
 };
 
-/// Sends requests one after another.
+/// Sends requests one after another, each within a time.
 Asked Ask(const tests::Script& aScript, int aTimes,
-          const std::string& aBody = "")
+          const std::string& aBody = "", Millis aTime = 5s)
 {
   asio::io_context context(1);
   ScriptedServer server(context, aScript);
@@ -47,7 +47,7 @@
         request.mMethod = aBody.empty() ? "GET" : "POST";
         request.mBody = aBody;
         ExchangeOptions options;
-        options.mDeadline = Clock::now() + 5s;
+        options.mDeadline = Clock::now() + aTime;
         options.mAnswerIdName = "X-Id";
         options.mAnswerId = "r" + std::to_string(n);
         options.mUnframedBody = true;
@@ -159,13 +159,14 @@
 namespace {
 
 /// The answer starts with some bytes and goes on with others without end.
-ExchangeResult AskEndless(const std::string& aStart, const std::string& aMore)
+ExchangeResult AskEndless(const std::string& aStart, const std::string& aMore,
+                          Millis aTime = 5s)
 {
   const auto out = Ask(
     [&](int, const std::string&) -> ScriptedAnswer {
       return { aStart, false, false, true, aMore };
     },
-    1);
+    1, "", aTime);
   return out.mResults.front();
 }
 
@@ -205,6 +206,21 @@
   }
 }
 
+Test(client, small_chunks_without_end_end_at_the_deadline, .timeout = 60)
+{
+  // The deadline ended a read that waited for bytes, and no exchange for which
+  // bytes always waited. Small chunks reach the bound on a body late.
+  std::string pieces;
+  for (int n = 0; n < 1'000; ++n) {
+    pieces += "1;a=any\r\nx\r\n";
+  }
+  const auto out = AskEndless(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", pieces, 200ms);
+  cr_assert_not(out.mResponse);
+  cr_assert(out.mTimedOut, "%s", out.mError.Describe().c_str());
+  cr_assert(out.mAnswerBegan);
+}
+
 Test(client, a_body_without_end_is_no_answer, .timeout = 60)
 {
   const std::string head = "HTTP/1.1 200 OK\r\n";
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -92,6 +92,17 @@
   return { Answer(200, "Proof: p\r\n") };
 }
 
+/// A body of small chunks without end.
+ScriptedAnswer Babble(int, const std::string&)
+{
+  std::string pieces;
+  for (int n = 0; n < 1'000; ++n) {
+    pieces += "1;a=any\r\nx\r\n";
+  }
+  return { "HTTP/1.1 200 Any\r\nTransfer-Encoding: chunked\r\n\r\n", false,
+           false, true, pieces };
+}
+
 } // namespace
 
 Test(forward, the_target_gets_the_request_unchanged_with_the_time_left)
@@ -112,6 +123,17 @@
   cr_assert_leq(std::stoi(head.substr(at + 11)), 700);
 }
 
+Test(forward, an_answer_without_end_ends_at_the_deadline_and_counts_as_failed,
+     .timeout = 60)
+{
+  // It outlasted the route's time-out, and the target went on being chosen.
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(Babble);
+  cr_assert_eq(bed.Send().mStatus, 504U);
+  const auto& target = *bed.mEntry.mRegistry.mTargets.at("t1");
+  cr_assert_gt(target.mLoad.mFailing, 0);
+}
+
 Test(forward, a_long_field_reaches_the_target)
 {
   // Beast's own request holds no field above 64 KiB and threw.
