Take late in a planned stop only what ends before the process

Seen by callers (reported by operators of like systems): requests that came late in a planned stop were passed on, and cut without an answer at its end (LOST).

Cause, entry: requests were taken for half of the stop time whatever their time limit. With a stop time of 10 s one that comes after 4 s with 8 s left outlasts the process. guavalined: after its last request it offers slots to peers for 0.2 s while it still listens and passes on what comes, and then ends.

Change: TakesWhileStopping, a free function. After 3 s only requests whose time limit ends before the process does are taken; the others are refused at once and truthfully. guavalined refuses once callers have moved on and ends when nothing is in flight.

--- a/include/guavaline/guavaline.hpp
+++ b/include/guavaline/guavaline.hpp
@@ -3,6 +3,7 @@
 /// The whole library in one header.
 
 #include <guavaline/admission/budgets.hpp>
+#include <guavaline/admission/planned_stop.hpp>
 #include <guavaline/admission/queue.hpp>
 #include <guavaline/admission/slots.hpp>
 #include <guavaline/attempts/attempts.hpp>
--- a/src/daemon/node.cpp
+++ b/src/daemon/node.cpp
@@ -70,8 +70,16 @@
     [&aNode](const std::string& a) { return aNode.mBlocked.count(a) == 0; });
 }
 
+/// Waits until no request is in flight.
+asio::awaitable<void> AwaitIdle(Node& aNode)
+{
+  while (aNode.mHttpServer.InFlight() > 0 || !aNode.mFlights.empty()) {
+    co_await Sleep(aNode, kStopPoll);
+  }
+}
+
 /// Leaves look-ups, serves while callers may still use old answers, then
-/// ends when nothing is in flight.
+/// refuses what comes and ends when nothing is in flight.
 asio::awaitable<void> Leave(Node& aNode)
 {
   Log(LogLevel::Info, "leaving",
@@ -84,12 +92,13 @@
     co_await OfferSlots(aNode, static_cast<double>(n) / kLeaveSteps);
     co_await Sleep(aNode, time / kLeaveSteps);
   }
+  aNode.mRefusesNew = true;
   aNode.mHttpServer.Drain();
-  while (aNode.mHttpServer.InFlight() > 0 || !aNode.mFlights.empty()) {
-    co_await Sleep(aNode, kStopPoll);
-  }
+  co_await AwaitIdle(aNode);
   co_await OfferSlots(aNode, 1);
   co_await Sleep(aNode, kOfferTime);
+  // Refusals of requests that came meanwhile go out whole.
+  co_await AwaitIdle(aNode);
   Log(LogLevel::Info, "stopped", {});
   aNode.mContext.stop();
 }
--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -115,6 +115,7 @@
   MembershipView mView;
   AttemptTable mAttempts;
   std::map<std::string, boost::intrusive_ptr<Flight>> mFlights;
+  bool mRefusesNew = false; ///< In a planned stop, once callers have moved on.
   std::map<std::string, ServiceState> mServices;
   std::map<std::string, LinkBudget> mLinks; ///< By other region.
   CrashTable mCrashTable;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/request_state.hpp"
 
+#include <guavaline/admission/planned_stop.hpp>
 #include <guavaline/core/hash.hpp>
 #include <guavaline/core/units.hpp>
 
@@ -26,8 +27,6 @@
 constexpr int kFreshPart = 19;
 constexpr int kWhole = 20;
 constexpr int kLimitFade = 1'000;
-/// Part of the stop time in which new requests are still taken.
-constexpr int kStopPart = 2;
 
 RetryBudget& RetriesOf(Entry& aEntry, const std::string& aService)
 {
@@ -186,6 +185,14 @@
   return aLimit * kWhole < full * kFreshPart;
 }
 
+bool IsRefusedForStop(const Entry& aEntry, Millis aLimit, TimePoint aNow)
+{
+  return aEntry.mStopping &&
+         !TakesWhileStopping(
+           std::chrono::duration_cast<Millis>(aNow - *aEntry.mStopping),
+           aEntry.mSettings.mBounds.mStopTime, aLimit);
+}
+
 std::string_view HostOf(const HttpRequest& aRequest)
 {
   const auto host = FindHeader(aRequest.mHeaders, "Host");
@@ -244,9 +251,7 @@
     limit = std::min(limit, route->mTimeout);
   }
   state.mDeadline = state.mArrived + limit;
-  const auto& stopping = aEntry.mStopping;
-  if (stopping &&
-      now - *stopping > aEntry.mSettings.mBounds.mStopTime / kStopPart) {
+  if (IsRefusedForStop(aEntry, limit, now)) {
     co_return finish(Reject(aEntry, state, Millis(0), "stopping"), "stopping");
   }
   SetKeys(aEntry, state);
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -5,6 +5,7 @@
 #include "entry/limits.hpp"
 #include "entry/rate_limits.hpp"
 
+#include <guavaline/admission/planned_stop.hpp>
 #include <guavaline/core/hash.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,11 +29,6 @@
 /// Time between lines on split routes and on limited targets.
 constexpr Millis kSummaryLogPeriod{ 2'000 };
 constexpr Millis kStopPoll{ 50 };
-/// Callers go on for this long after the entry left the look-ups, from the
-/// time that they keep answers.
-constexpr Millis kLeaveTime{ 3'000 };
-/// Left of the stop time when the process ends, however much is in flight.
-constexpr Millis kStopMargin{ 300 };
 constexpr int kExitCannotStart = 3;
 
 std::uint64_t NewSeed()
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -142,6 +142,9 @@
   Call call;
   call.mStarted = Clock::now();
   call.mService = ServiceOf(aRequest.mTarget);
+  if (aNode.mRefusesNew) {
+    co_return Refusal(503, "no", "stopping");
+  }
   if (aNode.mAccepted.mVersion == 0) {
     co_return Refusal(503, "no", "no_configuration");
   }
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -159,6 +159,18 @@
   }
 }
 
+Test(forward, late_in_a_planned_stop_only_what_ends_in_time_is_taken)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(Serve);
+  bed.mEntry.mSettings.mBounds.mStopTime = 10s;
+  bed.mEntry.mRouting.mRoutes[0].mTimeout = Millis(0);
+  bed.mEntry.mStopping = Clock::now() - 4s;
+  cr_assert_eq(bed.Send("8000").mStatus, 503U);
+  cr_assert_eq(bed.Runs(), 0);
+  cr_assert_eq(bed.Send("2000").mStatus, 200U);
+}
+
 Test(forward, a_long_field_reaches_the_target)
 {
   // Beast's own request holds no field above 64 KiB and threw.
