Let first sends to a cold target take turns over all entries

Cause: the gap that shares a cold target's rate was kept between an entry's own sends only. An entry that had sent nothing to this life of the target sent at once.

Ruled out: entries that send more than their part; with 12 entries no rule is broken.

Change: the known entries have an order of their own at each target, and the first send of each waits for its turn within the gap.

--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -51,6 +51,10 @@
   std::uint64_t mHash = 0; ///< Of the id, for rendezvous hashing.
   std::uint64_t mLife = 0; ///< Hash of the id and its present life.
   TimePoint mColdUntil{};
+  TimePoint mColdSince{}; ///< When it was first seen cold, in this spell.
+  /// This entry's place among all that may send to it while it is cold, from 0
+  /// to less than 1.
+  double mColdTurn = 0;
   /// Until when it may be used although its registration has lapsed.
   std::optional<TimePoint> mLapsesAt;
   /// Set once it left, drains, or another process answers at its address.
--- a/include/guavaline/roster/roster.hpp
+++ b/include/guavaline/roster/roster.hpp
@@ -157,6 +157,12 @@
                                  std::uint64_t aTarget, std::size_t aMost,
                                  TimePoint aNow);
 
+/// @returns this entry's place among all known entries in an order that each
+///          target has of its own, from 0 to less than 1
+/// @param aTarget  hash of the target
+[[nodiscard]] double TurnOf(const Roster& aRoster,
+                            std::uint64_t aTarget) noexcept;
+
 /// @returns records of dead entries that this entry is to remove
 [[nodiscard]] std::vector<EntryRecord> RecordsToRemove(const Roster& aRoster,
                                                        TimePoint aNow);
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -84,6 +84,15 @@
   return "";
 }
 
+/// Gives a cold target this entry's turn among those that may send to it.
+void SetColdTurn(Entry& aEntry, const std::string& aTarget, TimePoint aNow)
+{
+  const auto it = aEntry.mRegistry.mTargets.find(aTarget);
+  if (it != aEntry.mRegistry.mTargets.end() && aNow < it->second->mColdUntil) {
+    it->second->mColdTurn = TurnOf(aEntry.mRoster, it->second->mHash);
+  }
+}
+
 void TakeTarget(Entry& aEntry, const ObjectChange& aChange, TimePoint aNow)
 {
   auto change = RegistryChange::None;
@@ -92,6 +101,7 @@
   } else if (const auto target = aEntry.mPlatform.mReadTarget(aChange)) {
     NoteNewLife(aEntry, *target, aNow);
     change = TakeRegistration(aEntry.mRegistry, *target, aNow);
+    SetColdTurn(aEntry, aChange.mName, aNow);
   } else {
     // Another writer's object, or one that cannot be read: nothing to use.
     change = TakeRemoval(aEntry.mRegistry, aChange.mName, aNow);
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -63,14 +63,12 @@
            aRoute.mRegions.end();
 }
 
-/// @returns true where an entry's part of a rate allows one more request
-bool GapPassed(const LiveTarget& aTarget, double aRate, std::size_t aSharing,
-               TimePoint aNow) noexcept
+/// @returns the time between requests of one entry of those that share a rate
+Millis GapOf(double aRate, std::size_t aSharing) noexcept
 {
-  const double gapMs = kMsPerSecond * static_cast<double>(aSharing) /
-                       std::max(aRate, kMinColdRate);
-  return aNow - aTarget.mLoad.mLastSend >=
-         Millis(static_cast<std::int64_t>(gapMs));
+  return Millis(
+    static_cast<std::int64_t>(kMsPerSecond * static_cast<double>(aSharing) /
+                              std::max(aRate, kMinColdRate)));
 }
 
 bool ReturnedLately(const TargetRegistry& aRegistry, const LiveTarget& aTarget,
@@ -315,7 +313,12 @@
 bool MaySendCold(const LiveTarget& aTarget, const ColdBound& aBound,
                  std::size_t aEntries, TimePoint aNow) noexcept
 {
-  return GapPassed(aTarget, aBound.mRate * kColdPart, aEntries, aNow);
+  const auto gap = GapOf(aBound.mRate * kColdPart, aEntries);
+  // All entries learn of a new target in one moment: first sends take turns.
+  const auto turn = Millis(static_cast<std::int64_t>(
+    aTarget.mColdTurn * static_cast<double>(gap.count())));
+  return aNow - aTarget.mLoad.mLastSend >= gap &&
+         aNow - aTarget.mColdSince >= turn;
 }
 
 bool MaySendUnseen(const LiveTarget& aTarget, const ColdBound& aBound,
@@ -323,7 +326,8 @@
 {
   const double most = aBound.mRate * aBound.mOver + aBound.mSlack;
   // One more sharer stands for the entries of all other regions.
-  return GapPassed(aTarget, most * kUnseenPart, aRegionEntries + 1, aNow);
+  return aNow - aTarget.mLoad.mLastSend >=
+         GapOf(most * kUnseenPart, aRegionEntries + 1);
 }
 
 PlacementChoice ChooseOwner(const PlacementView& aView,
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -49,6 +49,14 @@
   return it == aRegistry.mDomains.end() ? std::string() : it->second;
 }
 
+void SetCold(LiveTarget& aTarget, Millis aLeft, TimePoint aNow) noexcept
+{
+  if (aNow >= aTarget.mColdUntil) {
+    aTarget.mColdSince = aNow;
+  }
+  aTarget.mColdUntil = aNow + aLeft;
+}
+
 void Add(TargetRegistry& aRegistry, const Registration& aRegistration,
          TimePoint aNow)
 {
@@ -57,7 +65,7 @@
   target->mHash = Hash(aRegistration.mId);
   target->mLife =
     HashPair(target->mHash, static_cast<std::uint64_t>(aRegistration.mStarted));
-  target->mColdUntil = aNow + aRegistration.mColdLeft;
+  SetCold(*target, aRegistration.mColdLeft, aNow);
   if (aRegistration.mDraining) {
     NoteLeftLife(aRegistry, target->mLife);
   }
@@ -100,7 +108,7 @@
   target.mRegistration = aRegistration;
   target.mLapsesAt.reset();
   target.mLeft = target.mLeft || aRegistration.mDraining;
-  target.mColdUntil = aNow + aRegistration.mColdLeft;
+  SetCold(target, aRegistration.mColdLeft, aNow);
   return drains ? RegistryChange::Draining : RegistryChange::None;
 }
 
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -316,6 +316,16 @@
   return { mayShare ? std::min(all, aMost) : 0, rank };
 }
 
+double TurnOf(const Roster& aRoster, std::uint64_t aTarget) noexcept
+{
+  const auto own = HashPair(aTarget, Hash(aRoster.mSelf.mName));
+  const auto before = std::count_if(
+    aRoster.mOthers.begin(), aRoster.mOthers.end(),
+    [&](const auto& a) { return HashPair(aTarget, Hash(a.first)) > own; });
+  return static_cast<double>(before) /
+         static_cast<double>(aRoster.mOthers.size() + 1);
+}
+
 std::vector<EntryRecord> RecordsToRemove(const Roster& aRoster, TimePoint aNow)
 {
   std::vector<EntryRecord> out;
--- a/tests/unit/placement_test.cpp
+++ b/tests/unit/placement_test.cpp
@@ -244,6 +244,39 @@
   cr_assert_geq(sent, 6.9 * kSeconds * 0.5);
 }
 
+// Load: a service of which all targets start cold at once, so that every entry
+// learns of each in the same moment and has requests for it.
+Test(placement, first_requests_to_a_cold_target_take_turns)
+{
+  // Each entry sent its first request at once, however many entries there were,
+  // and the target fell over.
+  constexpr std::size_t kEntries = 61;
+  const ColdBound bound{ 6.2, 1.5, 5 };
+  const double allowed = bound.mRate * bound.mOver + bound.mSlack;
+  std::vector<LiveTarget> copies(kEntries);
+  for (std::size_t n = 0; n < kEntries; ++n) {
+    copies[n].mColdSince = kNow;
+    copies[n].mColdTurn =
+      static_cast<double>(n) / static_cast<double>(kEntries);
+  }
+  std::vector<TimePoint> sends;
+  for (auto now = kNow; now < kNow + 15s; now += 10ms) {
+    for (auto& it : copies) {
+      if (MaySendCold(it, bound, kEntries, now)) {
+        it.mLoad.mLastSend = now;
+        sends.push_back(now);
+      }
+    }
+  }
+  for (const auto from : sends) {
+    const auto n = std::count_if(sends.begin(), sends.end(), [&](TimePoint a) {
+      return a >= from && a < from + 1s;
+    });
+    cr_assert_leq(static_cast<double>(n), allowed);
+  }
+  cr_assert_geq(static_cast<double>(sends.size()), 0.5 * bound.mRate * 15);
+}
+
 // Pattern: rate limit shared without talk, for targets whose state is unknown.
 Test(placement, a_target_that_may_be_cold_unseen_stays_below_the_bound)
 {
--- a/tests/unit/roster_test.cpp
+++ b/tests/unit/roster_test.cpp
@@ -186,6 +186,22 @@
   cr_assert_eq(EntriesFor(roster, "r2", kNow + 20s).size(), 2U);
 }
 
+Test(roster, entries_have_turns_of_their_own_at_each_target)
+{
+  std::set<double> turns;
+  std::set<double> first;
+  for (int n = 0; n < 12; ++n) {
+    const auto roster = MakeRoster(n, 12, "r1");
+    turns.insert(TurnOf(roster, 5));
+  }
+  cr_assert_eq(turns.size(), 12U);
+  cr_assert_eq(*turns.begin(), 0);
+  for (std::uint64_t target = 0; target < 12; ++target) {
+    first.insert(TurnOf(MakeRoster(0, 12, "r1"), target));
+  }
+  cr_assert_gt(first.size(), 3U);
+}
+
 Test(roster, limits_are_shared_by_the_most_entries_that_were_seen)
 {
   auto roster = MakeRoster(0, 12, "r1");
