Keep pauses that targets ask for whole, up to an hour

Seen (review, not a case): a target that answers 503 with Retry-After 90 got a request after 60.5 s.

Cause: pauses were cut to 60 s, an allowed value dropped in silence.

--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -115,7 +115,7 @@
                      TimePoint aNow);
 
 /// Longest time for which a target that wants nothing is left alone.
-inline constexpr Millis kMaxPause{ 60'000 };
+inline constexpr Millis kMaxPause{ 3'600'000 };
 
 /// Notes that a target wants nothing from this entry for a time, which is cut
 /// to kMaxPause. Entries come back one after another, within an eighth of the
--- a/tests/unit/target_words_test.cpp
+++ b/tests/unit/target_words_test.cpp
@@ -184,6 +184,14 @@
   cr_assert_leq(PausedFor(*target, kNow), kMaxPause + 1s);
 }
 
+Test(target_words, a_pause_of_minutes_is_kept_whole)
+{
+  // It was cut to a minute, and the target got requests that it wanted not.
+  const TargetPtr target(new LiveTarget);
+  cr_assert(NotePause(*target, 30min, 1, kNow));
+  cr_assert_geq(PausedFor(*target, kNow), 30min);
+}
+
 // Guards against all entries coming back in the same moment.
 Test(target_words, entries_come_back_one_after_another)
 {
