--- a/src/forwarding/exchange.hpp
+++ b/src/forwarding/exchange.hpp
@@ -49,9 +49,8 @@
 /// @returns the refusal for a failed placement
 [[nodiscard]] HttpResponse RefusalFor(PlacementFailure aFailure, bool aReached);
 
-/// @returns what an exchange says of the request. A refusal on a kept
-/// connection
-///          may answer an earlier request, as nothing in it names one.
+/// Tells whether the target ran the request. A refusal on a kept connection may
+/// answer an earlier request, as nothing in it names one.
 [[nodiscard]] TargetResult JudgeExchange(ExchangeResult aResult);
 
 /// Sends a call to the target whose slot is held.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -318,8 +318,11 @@
   if (aOptions.mAnswerIdName.empty()) {
     return false;
   }
-  const auto id = FindHeader(aParser.mHeaders, aOptions.mAnswerIdName);
-  return !id.empty() && id != aOptions.mAnswerId;
+  return std::any_of(aParser.mHeaders.begin(), aParser.mHeaders.end(),
+                     [&](const Header& a) {
+                       return SameName(a.mName, aOptions.mAnswerIdName) &&
+                              a.mValue != aOptions.mAnswerId;
+                     });
 }
 
 /// Reads answers until one belongs to the request.
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -89,6 +89,17 @@
   cr_assert_eq(out.mResults[1].mResponse->mBody, "own1");
 }
 
+Test(client, an_answer_with_an_empty_id_belongs_to_no_request)
+{
+  const auto out = Ask(
+    [](int n, const std::string&) -> ScriptedAnswer {
+      const auto id = "X-Id: r" + std::to_string(n) + "\r\n";
+      return { Whole("stale", "X-Id:\r\n") + Whole("own", id) };
+    },
+    1);
+  cr_assert_eq(out.mResults[0].mResponse->mBody, "own");
+}
+
 Test(client, surplus_bytes_end_the_connection)
 {
   const auto out = Ask(
