--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -148,8 +148,8 @@
 };
 
 /// Bytes that are read at once.
-inline constexpr std::size_t kLeastReadBytes = 512;
-inline constexpr std::size_t kMostReadBytes = 65'536;
+inline constexpr std::size_t kMinReadBytes = 512;
+inline constexpr std::size_t kMaxReadBytes = 65'536;
 
 /// How far a message is read.
 enum class ReadGoal {
@@ -184,9 +184,9 @@
   namespace asio = boost::asio;
   // A connection that is kept does not hold on to a large buffer.
   const auto wanted =
-    std::max(kLeastReadBytes, aBuffer.capacity() - aBuffer.size());
+    std::max(kMinReadBytes, aBuffer.capacity() - aBuffer.size());
   const auto room =
-    std::min({ wanted, kMostReadBytes, aBuffer.max_size() - aBuffer.size() });
+    std::min({ wanted, kMaxReadBytes, aBuffer.max_size() - aBuffer.size() });
   if (room == 0) {
     co_return boost::beast::http::error::buffer_overflow;
   }
