--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -41,6 +41,15 @@
   const auto result =
     co_await aEntry.mTargetClient.OpenSpare(endpoint, std::move(options));
   aTarget->mProbed = false;
+  const char* outcome = !result.mConnectFailed ? "listens"
+                        : result.mTimedOut     ? "silent"
+                                               : "refused";
+  LogBounded(LogClass::Failure, LogLevel::Info, "target_probed",
+             { { "target", aTarget->mRegistration.mId },
+               { "outcome", outcome },
+               { "broken_runs", std::to_string(aTarget->mBroken.size()) } });
+  aEntry.mMetrics.Count("target_probes",
+                        std::string("outcome=\"") + outcome + "\"");
   if (result.mConnectFailed && !result.mTimedOut) {
     NoteRefusedConnection(aEntry, *aTarget, Clock::now());
   }
