Count crashes of hosts that fall silent; do not blame requests for a failed domain

What callers saw: requests that crash targets went from target to target for as long as they came, each time with the loss of what ran beside them; in another place, requests that crash nothing were refused for ten minutes after failure domains had lost power one after another.

Cause: the belief that a target has crashed needed a sign which only some crashes give (a refused connection, another life at its id or address). The belief that a request crashed it needed no more than that the run was there. Class: a bound over all entries that rests on a sign of one kind of failure; several failures at one moment taken for one request's doing.

Design: - Each life of a target keeps its runs that have no answer (RunWatch): under way, broken, out of time, left by their callers. - A run without an answer makes the entry ask the target for a connection. A refusal ends the life, and so does silence, if no answer came meanwhile. - Before a run is counted, up to three others of the failure domain are asked that none of its requests may have crashed. If none listens, the domain has failed and nothing is counted. - Runs whose end nobody saw count as uncertain, from their start. A request that is refused for such crashes gets one trial at one entry, 5 s after the last; with its third crash no more. Entries tell each other which are uncertain. - Both faces write and read this news by the same functions.

The stand-in holds the port of a crashed target, which an outgoing connection could take before.

--- a/include/guavaline/crashes/crash_table.hpp
+++ b/include/guavaline/crashes/crash_table.hpp
@@ -18,6 +18,8 @@
   std::uint64_t mLife = 0;   ///< Of the target; tells its starts apart.
   TimePoint mStarted{};      ///< When the run began.
   TimePoint mCrashed{};
+  /// Nobody saw the run end: the target may have ended before it began.
+  bool mUncertain = false;
 };
 
 /// A run of a request that ended well.
@@ -42,6 +44,7 @@
     std::vector<Crash> mCrashes; ///< Since the last run that ended well.
     std::uint32_t mSeparate = 0; ///< Crashes that count.
     bool mRefusedByPeer = false; ///< Told without the crashes.
+    bool mTried = false;         ///< This entry has made its trial.
     TimePoint mServed{};         ///< When a run last ended well.
     TimePoint mForget{};
   };
@@ -80,6 +83,16 @@
 [[nodiscard]] Millis RefusedFor(const CrashTable& aTable, std::uint64_t aDigest,
                                 TimePoint aNow) noexcept;
 
+/// Allows one send of a refused request where all that speaks against it is
+/// uncertain. It runs well and clears the request, or crashes a target more.
+/// @returns true once, some time after the last crash
+bool TakeTrial(CrashTable& aTable, std::uint64_t aDigest, TimePoint aNow);
+
+/// @returns true where a life of a target is known to have crashed under a
+///          request
+[[nodiscard]] bool CrashedUnder(const CrashTable& aTable, std::uint64_t aDigest,
+                                std::uint64_t aLife) noexcept;
+
 /// Lists requests that are refused, for peers; others with each call.
 /// @param aMost  at most so many
 [[nodiscard]] std::vector<std::uint64_t> ListRefused(CrashTable& aTable,
--- a/include/guavaline/membership/membership.hpp
+++ b/include/guavaline/membership/membership.hpp
@@ -7,10 +7,12 @@
 #include <guavaline/attempts/attempts.hpp>
 #include <guavaline/configuration/model.hpp>
 #include <guavaline/core/time.hpp>
+#include <guavaline/crashes/crash_news.hpp>
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +42,7 @@
   MemberNews mSender;
   std::vector<MemberNews> mNews;
   std::vector<std::string> mCrashers; ///< Digests of requests that crash.
+  std::optional<CrashNews> mCrashes;  ///< Left out where empty.
 };
 
 struct Member
--- a/include/guavaline/registry/registry.hpp
+++ b/include/guavaline/registry/registry.hpp
@@ -6,6 +6,7 @@
 /// period in which it can come back.
 
 #include <guavaline/core/time.hpp>
+#include <guavaline/crashes/run_watch.hpp>
 #include <guavaline/placement/load.hpp>
 #include <guavaline/placement/rate_limit.hpp>
 
@@ -35,14 +36,6 @@
   std::int64_t mStarted = 0; ///< Start in Unix milliseconds; tells lives apart.
 };
 
-/// A run that ended with its connection.
-struct BrokenRun
-{
-  std::uint64_t mDigest = 0; ///< Of the request.
-  TimePoint mStarted{};
-  TimePoint mBroke{};
-};
-
 /// One life of a target; requests in flight keep it alive after its removal.
 struct LiveTarget : boost::intrusive_ref_counter<LiveTarget>
 {
@@ -61,9 +54,7 @@
   bool mLeft = false;
   /// It takes nothing from this entry until then, as it said in an answer.
   TimePoint mPausedUntil{};
-  /// Late runs whose connections broke; one of them may have crashed it.
-  std::vector<BrokenRun> mBroken;
-  bool mProbed = false; ///< It is being asked whether it still listens.
+  RunWatch mRuns;
   TargetLoad mLoad;
   RateLimit mLimit;
 };
@@ -109,6 +100,10 @@
 RegistryChange TakeRemoval(TargetRegistry& aRegistry, const std::string& aId,
                            TimePoint aNow);
 
+/// @returns true where a target has said that it leaves
+[[nodiscard]] bool HasSaidLeaving(const TargetRegistry& aRegistry,
+                                  const LiveTarget& aTarget);
+
 /// Notes that a target said in an answer that it leaves.
 /// @returns true where that is new
 bool NoteSaidLeaving(TargetRegistry& aRegistry, LiveTarget& aTarget,
--- a/src/crashes/crash_table.cpp
+++ b/src/crashes/crash_table.cpp
@@ -6,6 +6,11 @@
 namespace {
 
 constexpr std::uint32_t kCrashesToRefuse = 2;
+/// From so many crashes on a request gets no trial.
+constexpr std::uint32_t kCrashesToSettle = 3;
+/// A trial comes this long after the last crash, when what failed around the
+/// request may be back.
+constexpr Millis kTrialAfter{ 5'000 };
 /// Crashes kept of one request that is not refused yet.
 constexpr std::size_t kMaxCrashes = 8;
 /// Word of a crash that comes later than a good run's is still older than it.
@@ -49,6 +54,17 @@
          aNow < aRecord.mForget;
 }
 
+/// @returns true where further crashes would change nothing
+bool IsSettled(const CrashTable::Record& aRecord) noexcept
+{
+  const auto certain =
+    std::count_if(aRecord.mCrashes.begin(), aRecord.mCrashes.end(),
+                  [](const Crash& a) { return !a.mUncertain; });
+  return aRecord.mSeparate >= kCrashesToSettle ||
+         (aRecord.mSeparate >= kCrashesToRefuse &&
+          certain >= static_cast<std::ptrdiff_t>(kCrashesToRefuse));
+}
+
 } // namespace
 
 bool NoteCrash(CrashTable& aTable, const Crash& aCrash, TimePoint aNow)
@@ -64,8 +80,7 @@
   const bool cleared = record->mServed != TimePoint{} &&
                        aCrash.mCrashed <= record->mServed + kNewsDelay;
   const auto forget = aCrash.mCrashed + aTable.mMemory;
-  if (known || cleared || forget <= aNow ||
-      record->mSeparate >= kCrashesToRefuse) {
+  if (known || cleared || forget <= aNow || IsSettled(*record)) {
     return false;
   }
   if (crashes.size() >= kMaxCrashes) {
@@ -95,6 +110,7 @@
   }
   record.mServed = std::max(record.mServed, aRun.mEnded);
   record.mRefusedByPeer = false;
+  record.mTried = false;
   record.mSeparate = CountSeparate(record.mCrashes);
   if (record.mCrashes.empty()) {
     record.mForget = aRun.mEnded + kServedMemory;
@@ -148,6 +164,30 @@
            : Millis(0);
 }
 
+bool TakeTrial(CrashTable& aTable, std::uint64_t aDigest, TimePoint aNow)
+{
+  const auto it = aTable.mRecords.find(aDigest);
+  if (it == aTable.mRecords.end()) {
+    return false;
+  }
+  auto& record = it->second;
+  if (record.mTried || record.mCrashes.empty() || IsSettled(record) ||
+      aNow - record.mCrashes.back().mCrashed < kTrialAfter) {
+    return false;
+  }
+  record.mTried = true;
+  return true;
+}
+
+bool CrashedUnder(const CrashTable& aTable, std::uint64_t aDigest,
+                  std::uint64_t aLife) noexcept
+{
+  const auto it = aTable.mRecords.find(aDigest);
+  return it != aTable.mRecords.end() &&
+         std::any_of(it->second.mCrashes.begin(), it->second.mCrashes.end(),
+                     [aLife](const Crash& a) { return a.mLife == aLife; });
+}
+
 std::vector<std::uint64_t> ListRefused(CrashTable& aTable, TimePoint aNow,
                                        std::size_t aMost)
 {
--- a/src/daemon/gossip.cpp
+++ b/src/daemon/gossip.cpp
@@ -18,15 +18,13 @@
 namespace {
 
 constexpr Millis kHeartbeatTimeout{ 1'000 };
-constexpr std::size_t kMaxRefusedInHeartbeat = 8;
 
 Heartbeat NextHeartbeat(Node& aNode)
 {
   auto out = MakeHeartbeat(aNode.mView);
-  for (const auto it :
-       ListRefused(aNode.mCrashTable, Clock::now(), kMaxRefusedInHeartbeat)) {
-    out.mCrashers.push_back(HexId(it));
-  }
+  auto refusals = TellRefusals(aNode.mCrashTable, Clock::now());
+  out.mCrashers = std::move(refusals.mRefused);
+  out.mCrashes = std::move(refusals.mEvidence);
   return out;
 }
 
@@ -34,11 +32,8 @@
 {
   const auto now = Clock::now();
   TakeHeartbeat(aNode.mView, aHeartbeat, now);
-  for (const auto& it : aHeartbeat.mCrashers) {
-    if (const auto digest = ParseHexId(it)) {
-      NoteRefusedByPeer(aNode.mCrashTable, *digest, now);
-    }
-  }
+  HearRefusals(aNode.mCrashTable, { aHeartbeat.mCrashers, aHeartbeat.mCrashes },
+               now);
 }
 
 /// Fetches the configuration where a peer has a newer one.
--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -1,6 +1,7 @@
 #include "entry/crashes.hpp"
 
 #include "entry/messages.hpp"
+#include "http/probe.hpp"
 
 #include <guavaline/core/hash.hpp>
 
@@ -15,72 +16,188 @@
 
 namespace {
 
-/// A target that takes no connections this soon after runs broke crashed.
-constexpr Millis kCrashSeen{ 3'000 };
-/// Another life registers this soon after a crash.
-constexpr Millis kRestartSeen{ 10'000 };
-constexpr Millis kProbeTimeout{ 700 };
-constexpr std::size_t kMaxBroken = 16;
 constexpr std::size_t kMaxNews = 64;
+/// Others of a failure domain that are asked whether all of it has failed.
+constexpr std::size_t kMaxSiblings = 3;
 
-void ForgetOldRuns(LiveTarget& aTarget, Millis aKeep, TimePoint aNow)
+const char* NameOf(EndSign aSign)
 {
-  std::erase_if(aTarget.mBroken,
-                [&](const BrokenRun& a) { return aNow - a.mBroke >= aKeep; });
+  switch (aSign) {
+    case EndSign::RefusesConnections:
+      return "refuses_connections";
+    case EndSign::Silent:
+      return "silent";
+    case EndSign::AnotherLife:
+      break;
+  }
+  return "another_life";
 }
 
-/// Asks a target that broke a run whether it still listens; where it does, the
-/// connection is kept for the next request.
-asio::awaitable<void> ProbeListener(Entry& aEntry, TargetPtr aTarget)
+const char* NameOf(ListenState aState)
 {
-  const auto endpoint = *ParseEndpoint(aTarget->mRegistration.mAddress);
-  ExchangeOptions options;
-  options.mConnectTimeout = kProbeTimeout;
-  options.mDeadline = Clock::now() + kProbeTimeout;
-  options.mUnacknowledged = kProbeTimeout;
-  const auto result =
-    co_await aEntry.mTargetClient.OpenSpare(endpoint, std::move(options));
-  aTarget->mProbed = false;
-  const char* outcome = !result.mConnectFailed ? "listens"
-                        : result.mTimedOut     ? "silent"
-                                               : "refused";
-  LogBounded(LogClass::Failure, LogLevel::Info, "target_probed",
-             { { "target", aTarget->mRegistration.mId },
-               { "outcome", outcome },
-               { "broken_runs", std::to_string(aTarget->mBroken.size()) } });
-  aEntry.mMetrics.Count("target_probes",
-                        std::string("outcome=\"") + outcome + "\"");
-  if (result.mConnectFailed && !result.mTimedOut) {
-    NoteRefusedConnection(aEntry, *aTarget, Clock::now());
+  switch (aState) {
+    case ListenState::Listens:
+      return "listens";
+    case ListenState::Refuses:
+      return "refused";
+    case ListenState::Silent:
+      break;
   }
+  return "silent";
 }
 
-/// Counts the runs that broke with a target as crashes under them.
-/// @param aSign  what showed that it crashed, for the log
-void CountCrashes(Entry& aEntry, LiveTarget& aTarget, const char* aSign,
-                  TimePoint aNow)
+/// Counts the runs of a target whose life has ended as crashes under them.
+/// @param aSilence  since when it has been silent
+void CountCrashes(Entry& aEntry, LiveTarget& aTarget, EndSign aSign,
+                  TimePoint aSilence, TimePoint aNow)
 {
-  if (aTarget.mBroken.empty()) {
-    return;
-  }
-  for (const auto& it : aTarget.mBroken) {
-    const Crash crash{ it.mDigest, aTarget.mLife, it.mStarted, it.mBroke };
-    if (!NoteCrash(aEntry.mCrashTable, crash, aNow)) {
+  const auto crashes =
+    TakeCrashes(aTarget.mRuns, aTarget.mLife, aSign, aSilence, aNow);
+  for (const auto& it : crashes) {
+    if (!NoteCrash(aEntry.mCrashTable, it, aNow)) {
       continue;
     }
-    aEntry.mUntoldCrashes.mCrashes.push_back(crash);
+    aEntry.mUntoldCrashes.mCrashes.push_back(it);
     LogBounded(
       LogClass::Failure, LogLevel::Warning, "target_crashed",
       { { "target", aTarget.mRegistration.mId },
         { "digest", HexId(it.mDigest) },
-        { "sign", aSign },
+        { "sign", NameOf(aSign) },
+        { "uncertain", it.mUncertain ? "yes" : "no" },
         { "refused_from_now",
           CrashesTargets(aEntry.mCrashTable, it.mDigest, aNow) ? "yes"
                                                                : "no" } });
   }
-  aEntry.mMetrics.Count("target_crashes",
-                        "service=\"" + aTarget.mRegistration.mService + "\"");
-  aTarget.mBroken.clear();
+  if (!crashes.empty()) {
+    aEntry.mMetrics.Count("target_crashes",
+                          "service=\"" + aTarget.mRegistration.mService + "\"");
+  }
+}
+
+/// @returns true where a request that ran at a target is known to have crashed
+///          another one, or may have
+bool SharesSuspects(const Entry& aEntry, const LiveTarget& aTarget,
+                    const LiveTarget& aOther)
+{
+  const auto isShared = [&](std::uint64_t aDigest) {
+    const auto same = [aDigest](const BrokenRun& a) {
+      return a.mDigest == aDigest;
+    };
+    const auto& broken = aOther.mRuns.mBroken;
+    return CrashedUnder(aEntry.mCrashTable, aDigest, aOther.mLife) ||
+           std::any_of(broken.begin(), broken.end(), same);
+  };
+  const auto& runs = aTarget.mRuns;
+  return std::any_of(runs.mBroken.begin(), runs.mBroken.end(),
+                     [&](const BrokenRun& a) { return isShared(a.mDigest); }) ||
+         std::any_of(runs.mUnderWay.begin(), runs.mUnderWay.end(),
+                     [&](const auto& a) { return isShared(a.second.mDigest); });
+}
+
+/// @returns others of a target's failure domain, those heard last first, which
+///          none of its requests may have crashed
+std::vector<TargetPtr> SiblingsOf(const Entry& aEntry,
+                                  const LiveTarget& aTarget)
+{
+  std::vector<TargetPtr> out;
+  for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
+    if (target.get() != &aTarget && !target->mLeft &&
+        target->mRegistration.mFailureDomain ==
+          aTarget.mRegistration.mFailureDomain &&
+        !SharesSuspects(aEntry, aTarget, *target)) {
+      out.push_back(target);
+    }
+  }
+  std::sort(out.begin(), out.end(), [](const TargetPtr& a, const TargetPtr& b) {
+    return a->mRuns.mHeard > b->mRuns.mHeard;
+  });
+  out.resize(std::min(out.size(), kMaxSiblings));
+  return out;
+}
+
+/// @param aSince  when the target was last known to serve
+/// @returns true where other targets of a target's failure domain do not
+///          answer either, so that its requests are not to blame
+asio::awaitable<bool> HasDomainFailed(Entry& aEntry, TargetPtr aTarget,
+                                      TimePoint aSince)
+{
+  const auto siblings = SiblingsOf(aEntry, *aTarget);
+  if (siblings.empty() || siblings.front()->mRuns.mHeard > aSince) {
+    co_return false;
+  }
+  std::vector<Endpoint> peers;
+  for (const auto& it : siblings) {
+    peers.push_back(*ParseEndpoint(it->mRegistration.mAddress));
+  }
+  co_return !co_await AnyListens(aEntry.mTargetClient, std::move(peers));
+}
+
+/// Judges a target that takes no connections.
+/// @param aSince  when it was found out, or began to be
+asio::awaitable<void> JudgeEnded(Entry& aEntry, TargetPtr aTarget,
+                                 EndSign aSign, TimePoint aSince)
+{
+  if (HasSaidLeaving(aEntry.mRegistry, *aTarget) ||
+      !HasSuspects(aTarget->mRuns)) {
+    co_return;
+  }
+  const bool failed = co_await HasDomainFailed(aEntry, aTarget, aSince);
+  const auto now = Clock::now();
+  if (aSign == EndSign::Silent && aTarget->mRuns.mHeard > aSince) {
+    co_return;
+  }
+  if (failed) {
+    LogBounded(LogClass::Failure, LogLevel::Warning, "failure_domain_silent",
+               { { "target", aTarget->mRegistration.mId },
+                 { "failure_domain", aTarget->mRegistration.mFailureDomain },
+                 { "sign", NameOf(aSign) } });
+    static_cast<void>(
+      TakeCrashes(aTarget->mRuns, aTarget->mLife, aSign, aSince, now));
+    co_return;
+  }
+  CountCrashes(aEntry, *aTarget, aSign, aSince, now);
+}
+
+/// Asks a target that gave no answer whether it still listens.
+asio::awaitable<void> ProbeTarget(Entry& aEntry, TargetPtr aTarget)
+{
+  const auto endpoint = *ParseEndpoint(aTarget->mRegistration.mAddress);
+  const auto started = Clock::now();
+  const auto state = co_await ProbeListener(aEntry.mTargetClient, endpoint);
+  LogBounded(
+    LogClass::Failure, LogLevel::Info, "target_probed",
+    { { "target", aTarget->mRegistration.mId },
+      { "outcome", NameOf(state) },
+      { "broken_runs", std::to_string(aTarget->mRuns.mBroken.size()) } });
+  aEntry.mMetrics.Count("target_probes",
+                        std::string("outcome=\"") + NameOf(state) + "\"");
+  // One that is full refuses new connections and keeps those that it has.
+  const bool full =
+    state == ListenState::Refuses && aEntry.mTargetClient.HasOpen(endpoint);
+  if (state != ListenState::Listens && !full) {
+    const auto sign = state == ListenState::Silent
+                        ? EndSign::Silent
+                        : EndSign::RefusesConnections;
+    co_await JudgeEnded(aEntry, aTarget, sign, started);
+  }
+  aTarget->mRuns.mProbed = false;
+}
+
+void StartProbe(Entry& aEntry, const TargetPtr& aTarget)
+{
+  if (!aTarget->mRuns.mProbed) {
+    aTarget->mRuns.mProbed = true;
+    asio::co_spawn(aEntry.mContext, ProbeTarget(aEntry, aTarget),
+                   asio::detached);
+  }
+}
+
+/// @returns true where a registration shows that a target's life has ended
+bool Ends(const Registration& aNew, const Registration& aOld)
+{
+  const bool sameId = aOld.mId == aNew.mId;
+  const bool other = !sameId || aOld.mStarted != aNew.mStarted;
+  return other && (sameId || aOld.mAddress == aNew.mAddress);
 }
 
 } // namespace
@@ -92,42 +209,35 @@
     // It may end with runs still under way.
     return;
   }
-  ForgetOldRuns(*aTarget, kRestartSeen, aNow);
-  if (aTarget->mBroken.size() >= kMaxBroken) {
-    aTarget->mBroken.erase(aTarget->mBroken.begin());
-  }
-  aTarget->mBroken.push_back(aRun);
+  ForgetBroken(aTarget->mRuns, aNow);
+  NoteBroken(aTarget->mRuns, aRun);
   auto& suspects = aEntry.mBrokenTargets;
   if (std::find(suspects.begin(), suspects.end(), aTarget) == suspects.end()) {
     suspects.push_back(aTarget);
   }
-  if (!aTarget->mProbed) {
-    aTarget->mProbed = true;
-    asio::co_spawn(aEntry.mContext, ProbeListener(aEntry, aTarget),
-                   asio::detached);
-  }
+  StartProbe(aEntry, aTarget);
 }
 
-void NoteRefusedConnection(Entry& aEntry, LiveTarget& aTarget, TimePoint aNow)
+void NoteFailedConnection(Entry& aEntry, const TargetPtr& aTarget)
 {
-  const auto endpoint = *ParseEndpoint(aTarget.mRegistration.mAddress);
-  ForgetOldRuns(aTarget, kCrashSeen, aNow);
-  // One that is full refuses new connections and keeps those that it has.
-  if (!aEntry.mTargetClient.HasOpen(endpoint)) {
-    CountCrashes(aEntry, aTarget, "refuses_connections", aNow);
+  if (!aTarget->mLeft && HasSuspects(aTarget->mRuns)) {
+    StartProbe(aEntry, aTarget);
   }
 }
 
 void NoteNewLife(Entry& aEntry, const Registration& aRegistration,
                  TimePoint aNow)
 {
-  for (const auto& it : aEntry.mBrokenTargets) {
-    const auto& old = it->mRegistration;
-    const bool sameId = old.mId == aRegistration.mId;
-    const bool other = !sameId || old.mStarted != aRegistration.mStarted;
-    if (other && (sameId || old.mAddress == aRegistration.mAddress)) {
-      ForgetOldRuns(*it, kRestartSeen, aNow);
-      CountCrashes(aEntry, *it, "another_life", aNow);
+  auto targets = aEntry.mBrokenTargets;
+  for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
+    if (HasSuspects(target->mRuns)) {
+      targets.push_back(target);
+    }
+  }
+  for (const auto& it : targets) {
+    if (Ends(aRegistration, it->mRegistration) &&
+        !HasSaidLeaving(aEntry.mRegistry, *it)) {
+      CountCrashes(aEntry, *it, EndSign::AnotherLife, aNow, aNow);
     }
   }
 }
@@ -145,8 +255,8 @@
 void ForgetBrokenRuns(Entry& aEntry, TimePoint aNow)
 {
   std::erase_if(aEntry.mBrokenTargets, [aNow](const TargetPtr& a) {
-    ForgetOldRuns(*a, kRestartSeen, aNow);
-    return a->mBroken.empty();
+    ForgetBroken(a->mRuns, aNow);
+    return a->mRuns.mBroken.empty();
   });
 }
 
--- a/src/entry/crashes.hpp
+++ b/src/entry/crashes.hpp
@@ -7,14 +7,15 @@
 
 namespace guavaline::detail {
 
-/// Notes a run that ended with its connection. Where the target takes no
-/// connections now, it has crashed.
+/// Notes a run that ended without an answer. The target is asked whether it
+/// still takes connections; where it does not and others of its failure domain
+/// do, it has crashed.
 void NoteBrokenRun(Entry& aEntry, const TargetPtr& aTarget,
                    const BrokenRun& aRun, TimePoint aNow);
 
-/// Notes that a target refused a connection. Runs that broke with it lately
-/// count as crashes.
-void NoteRefusedConnection(Entry& aEntry, LiveTarget& aTarget, TimePoint aNow);
+/// Notes that a target did not take a connection; where runs had no answer
+/// there, it is asked once more.
+void NoteFailedConnection(Entry& aEntry, const TargetPtr& aTarget);
 
 /// Notes the lives that a new registration shows to have ended.
 void NoteNewLife(Entry& aEntry, const Registration& aRegistration,
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -193,6 +193,14 @@
            aEntry.mSettings.mBounds.mStopTime, aLimit);
 }
 
+/// One entry alone tries refused requests, so that few of them reach targets.
+bool MayTry(Entry& aEntry, std::uint64_t aDigest, TimePoint aNow)
+{
+  return !IsIsolated(aEntry.mRoster, aNow) &&
+         TurnOf(aEntry.mRoster, aDigest) == 0 &&
+         TakeTrial(aEntry.mCrashTable, aDigest, aNow);
+}
+
 std::string_view HostOf(const HttpRequest& aRequest)
 {
   const auto host = FindHeader(aRequest.mHeaders, "Host");
@@ -204,13 +212,18 @@
   const auto object = aEntry.mPlatform.mObjectOf(aState.mRequest);
   aState.mKey = object.empty() ? aEntry.mRandom()
                                : Hash(object, Hash(aState.mRoute.mPathPrefix));
-  aState.mDigest =
-    HashPair(Hash(aState.mRequest.mMethod + " " + aState.mRequest.mTarget, 1),
-             HashPair(Hash(object), Hash(aState.mRequest.mBody)));
+  aState.mDigest = DigestOf(aEntry, aState.mRequest);
 }
 
 } // namespace
 
+std::uint64_t DigestOf(const Entry& aEntry, const HttpRequest& aRequest)
+{
+  const auto object = aEntry.mPlatform.mObjectOf(aRequest);
+  return HashPair(Hash(aRequest.mMethod + " " + aRequest.mTarget, 1),
+                  HashPair(Hash(object), Hash(aRequest.mBody)));
+}
+
 void SetRetryBounds(const Entry& aEntry, RetryBudget& aBudget)
 {
   const auto& bounds = aEntry.mSettings.mBounds;
@@ -255,7 +268,8 @@
     co_return finish(Reject(aEntry, state, Millis(0), "stopping"), "stopping");
   }
   SetKeys(aEntry, state);
-  if (CrashesTargets(aEntry.mCrashTable, state.mDigest, now)) {
+  if (CrashesTargets(aEntry.mCrashTable, state.mDigest, now) &&
+      !MayTry(aEntry, state.mDigest, now)) {
     co_return finish(Reject(aEntry, state,
                             RefusedFor(aEntry.mCrashTable, state.mDigest, now),
                             "crashes"),
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -21,7 +21,6 @@
 constexpr Millis kCallTimeout{ 1'000 };
 constexpr Millis kRecordRetry{ 500 };
 constexpr Millis kRecordCheck{ 3'000 };
-constexpr std::size_t kMaxRefusedInHeartbeat = 8;
 /// Weight of the requests of one heartbeat period in the rate.
 constexpr double kRateWeight = 0.5;
 /// Leaves 40 of the 63 bits of an incarnation.
@@ -33,45 +32,15 @@
   EntryHeartbeat out;
   out.mRegion = PackNews(TellNews(aEntry.mRoster, now));
   out.mViews = TellViews(aEntry, now);
-  const auto refused =
-    ListRefused(aEntry.mCrashTable, now, kMaxRefusedInHeartbeat);
-  for (const auto it : refused) {
-    out.mCrashers.push_back(HexId(it));
-  }
-  const auto crashes =
-    EvidenceOf(aEntry.mCrashTable, refused, now, kMaxRefusedInHeartbeat);
-  if (!crashes.mCrashes.empty() || !crashes.mServed.empty()) {
-    out.mCrashes = PackCrashes(crashes, now);
-  }
+  auto refusals = TellRefusals(aEntry.mCrashTable, now);
+  out.mCrashers = std::move(refusals.mRefused);
+  out.mCrashes = std::move(refusals.mEvidence);
   if (auto limits = TellLimits(aEntry, now); !limits.empty()) {
     out.mLimits = std::move(limits);
   }
   return ToJson(out);
 }
 
-/// Takes in which requests a peer refuses.
-void HearRefused(Entry& aEntry, const EntryHeartbeat& aHeartbeat,
-                 TimePoint aNow)
-{
-  const auto evidence = aHeartbeat.mCrashes
-                          ? UnpackCrashes(*aHeartbeat.mCrashes, aNow)
-                          : std::nullopt;
-  if (evidence) {
-    HearEvidence(aEntry.mCrashTable, *evidence, aNow);
-  }
-  for (const auto& it : aHeartbeat.mCrashers) {
-    const auto digest = ParseHexId(it);
-    const bool shown =
-      evidence &&
-      std::any_of(evidence->mCrashes.begin(), evidence->mCrashes.end(),
-                  [&](const Crash& a) { return a.mDigest == digest; });
-    // Entries of earlier builds tell no more than the digest.
-    if (digest && !shown) {
-      NoteRefusedByPeer(aEntry.mCrashTable, *digest, aNow);
-    }
-  }
-}
-
 /// Takes in a heartbeat.
 /// @returns the kinds of which the peer's view goes further; nothing where
 ///          the heartbeat cannot be read
@@ -88,7 +57,8 @@
   }
   const auto now = Clock::now();
   HearNews(aEntry.mRoster, *news, now);
-  HearRefused(aEntry, heartbeat, now);
+  HearRefusals(aEntry.mCrashTable, { heartbeat.mCrashers, heartbeat.mCrashes },
+               now);
   HearLimits(aEntry, heartbeat.mLimits.value_or(std::vector<LimitNews>()), now);
   return HearViews(aEntry, heartbeat.mViews, now);
 }
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -3,6 +3,7 @@
 /// Messages between entry hosts.
 
 #include "codec/described.hpp"
+#include "crashes/crash_wire.hpp"
 #include "entry/crashes.hpp"
 #include "entry/entry.hpp"
 #include "entry/rate_limits.hpp"
@@ -30,17 +31,6 @@
   std::vector<LimitNews> mLimits;
 };
 
-/// What entries saw of requests that targets crashed under. Times are ages.
-struct CrashNews
-{
-  std::vector<std::string> mDigests; ///< By HexId, as all ids here.
-  std::vector<std::string> mLives;
-  std::vector<Millis> mStarted;
-  std::vector<Millis> mCrashed;
-  std::vector<std::string> mServed; ///< Digests of requests that ran well.
-  std::vector<Millis> mServedAges;
-};
-
 /// Tells an entry of crashes.
 struct CrashMessage
 {
@@ -101,9 +91,6 @@
 BOOST_DESCRIBE_STRUCT(LimitMessage, (), (mLimits))
 BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge, mEpoch))
 BOOST_DESCRIBE_STRUCT(RegionNews, (), (mEntries, mCounters, mRates, mLeaving))
-BOOST_DESCRIBE_STRUCT(CrashNews, (),
-                      (mDigests, mLives, mStarted, mCrashed, mServed,
-                       mServedAges))
 BOOST_DESCRIBE_STRUCT(CrashMessage, (), (mNews, mPassOn))
 BOOST_DESCRIBE_STRUCT(EntryHeartbeat, (),
                       (mRegion, mCrashers, mViews, mLimits, mCrashes))
@@ -147,14 +134,6 @@
 /// Takes in what targets said to a peer of their limits.
 void TakeLimitNews(Entry& aEntry, const std::string& aBody);
 
-/// Writes evidence for a message.
-[[nodiscard]] CrashNews PackCrashes(const CrashEvidence& aEvidence,
-                                    TimePoint aNow);
-
-/// @returns what a peer tells of crashes; nothing where it is malformed
-[[nodiscard]] std::optional<CrashEvidence> UnpackCrashes(const CrashNews& aNews,
-                                                         TimePoint aNow);
-
 /// Tells the entries of the own region of crashes, and one of each other
 /// region, which passes it on there.
 void PushCrashNews(Entry& aEntry, const CrashEvidence& aEvidence,
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -230,54 +230,6 @@
   }
 }
 
-CrashNews PackCrashes(const CrashEvidence& aEvidence, TimePoint aNow)
-{
-  const auto age = [aNow](TimePoint a) {
-    return std::chrono::duration_cast<Millis>(aNow - a);
-  };
-  CrashNews out;
-  for (const auto& it : aEvidence.mCrashes) {
-    out.mDigests.push_back(HexId(it.mDigest));
-    out.mLives.push_back(HexId(it.mLife));
-    out.mStarted.push_back(age(it.mStarted));
-    out.mCrashed.push_back(age(it.mCrashed));
-  }
-  for (const auto& it : aEvidence.mServed) {
-    out.mServed.push_back(HexId(it.mDigest));
-    out.mServedAges.push_back(age(it.mEnded));
-  }
-  return out;
-}
-
-std::optional<CrashEvidence> UnpackCrashes(const CrashNews& aNews,
-                                           TimePoint aNow)
-{
-  const auto n = aNews.mDigests.size();
-  if (aNews.mLives.size() != n || aNews.mStarted.size() != n ||
-      aNews.mCrashed.size() != n ||
-      aNews.mServedAges.size() != aNews.mServed.size()) {
-    return std::nullopt;
-  }
-  CrashEvidence out;
-  for (std::size_t k = 0; k < n; ++k) {
-    const auto digest = ParseHexId(aNews.mDigests[k]);
-    const auto life = ParseHexId(aNews.mLives[k]);
-    if (!digest || !life) {
-      return std::nullopt;
-    }
-    out.mCrashes.push_back(
-      { *digest, *life, aNow - aNews.mStarted[k], aNow - aNews.mCrashed[k] });
-  }
-  for (std::size_t k = 0; k < aNews.mServed.size(); ++k) {
-    const auto digest = ParseHexId(aNews.mServed[k]);
-    if (!digest) {
-      return std::nullopt;
-    }
-    out.mServed.push_back({ *digest, aNow - aNews.mServedAges[k] });
-  }
-  return out;
-}
-
 void PushCrashNews(Entry& aEntry, const CrashEvidence& aEvidence,
                    bool aToOtherRegions)
 {
--- a/src/entry/request_state.hpp
+++ b/src/entry/request_state.hpp
@@ -55,4 +55,8 @@
 boost::asio::awaitable<SendOutcome> SendOnce(Entry& aEntry,
                                              RequestState& aState);
 
+/// @returns what tells a request that comes again from others
+[[nodiscard]] std::uint64_t DigestOf(const Entry& aEntry,
+                                     const HttpRequest& aRequest);
+
 } // namespace guavaline::detail
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -32,12 +32,17 @@
 class FlightCount
 {
 public:
-  explicit FlightCount(TargetPtr aTarget)
+  FlightCount(TargetPtr aTarget, std::uint64_t aDigest, TimePoint aNow)
     : mTarget(std::move(aTarget))
+    , mRun(StartRun(mTarget->mRuns, aDigest, aNow))
   {
     ++mTarget->mLoad.mOwn;
   }
-  ~FlightCount() { --mTarget->mLoad.mOwn; }
+  ~FlightCount()
+  {
+    --mTarget->mLoad.mOwn;
+    EndRun(mTarget->mRuns, mRun);
+  }
   FlightCount(const FlightCount&) = delete;
   FlightCount& operator=(const FlightCount&) = delete;
   FlightCount(FlightCount&&) = delete;
@@ -45,6 +50,7 @@
 
 private:
   TargetPtr mTarget;
+  std::uint64_t mRun;
 };
 
 bool IsForwarded(const HeaderNames& aNames, const Header& aHeader)
@@ -159,14 +165,13 @@
                const ExchangeResult& aResult, TimePoint aStarted,
                TimePoint aNow)
 {
-  if (aResult.mTimedOut) {
-    return;
-  }
   const auto& target = aState.mChoice.mTarget;
   if (aResult.mMayHaveReached) {
-    NoteBrokenRun(aEntry, target, { aState.mDigest, aStarted, aNow }, aNow);
+    const auto end = aResult.mTimedOut ? RunEnd::Unseen : RunEnd::Broke;
+    NoteBrokenRun(aEntry, target, { aState.mDigest, aStarted, aNow, end },
+                  aNow);
   } else if (aResult.mConnectFailed) {
-    NoteRefusedConnection(aEntry, *target, aNow);
+    NoteFailedConnection(aEntry, target);
   }
 }
 
@@ -258,8 +263,8 @@
 {
   const auto target = aState.mChoice.mTarget;
   const auto endpoint = *ParseEndpoint(target->mRegistration.mAddress);
-  const FlightCount count(target);
   const auto started = Clock::now();
+  const FlightCount count(target, aState.mDigest, started);
   target->mLoad.mLastSend = started;
   NoteRegion(aEntry.mRegionShare, aState.mChoice.mPrefersFar,
              aState.mChoice.mFar, aState.mChoice.mStrict, started);
@@ -277,9 +282,16 @@
   for (const auto& it : result.mStray) {
     LearnLateWords(aEntry, *target, it, aState.mId, now);
   }
+  if (result.mResponse || !result.mStray.empty()) {
+    target->mRuns.mHeard = now;
+  }
   SendOutcome out;
   if (result.mCancelled) {
     // The caller left, which says nothing of the target.
+    if (result.mMayHaveReached) {
+      NoteAbandoned(target->mRuns,
+                    { aState.mDigest, started, now, RunEnd::Unseen });
+    }
     out.mWhat = "caller_left";
     ++aState.mRuns;
     co_return out;
--- a/src/peers/messages.hpp
+++ b/src/peers/messages.hpp
@@ -3,6 +3,7 @@
 /// Messages between entries.
 
 #include "codec/described.hpp"
+#include "crashes/crash_wire.hpp"
 
 #include <guavaline/admission/slots.hpp>
 #include <guavaline/attempts/attempts.hpp>
@@ -13,7 +14,7 @@
 BOOST_DESCRIBE_STRUCT(Incarnation, (), (mEntry, mNumber))
 BOOST_DESCRIBE_STRUCT(MemberNews, (),
                       (mName, mIncarnation, mCounter, mLeaving, mVersion))
-BOOST_DESCRIBE_STRUCT(Heartbeat, (), (mSender, mNews, mCrashers))
+BOOST_DESCRIBE_STRUCT(Heartbeat, (), (mSender, mNews, mCrashers, mCrashes))
 BOOST_DESCRIBE_STRUCT(Outcome, (), (mStatus, mContentType, mBody))
 BOOST_DESCRIBE_ENUM(ResolveVerdict, Yours, Done, Busy, HeldBy, Unknown)
 
--- a/src/registry/registry.cpp
+++ b/src/registry/registry.cpp
@@ -131,6 +131,11 @@
   return RegistryChange::Left;
 }
 
+bool HasSaidLeaving(const TargetRegistry& aRegistry, const LiveTarget& aTarget)
+{
+  return HasLeft(aRegistry, aTarget.mLife);
+}
+
 bool NoteSaidLeaving(TargetRegistry& aRegistry, LiveTarget& aTarget,
                      TimePoint aNow)
 {
--- a/testing/standin/silent_port.cpp
+++ b/testing/standin/held_port.cpp
@@ -1,12 +1,12 @@
-#include "standin/silent_port.hpp"
+#include "standin/held_port.hpp"
 
 namespace guavaline::testing {
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-SilentPort::SilentPort(asio::io_context& aContext, const std::string& aAddress,
-                       std::uint16_t aPort)
+HeldPort::HeldPort(asio::io_context& aContext, const std::string& aAddress,
+                   std::uint16_t aPort, PortManner aManner)
   : mAcceptor(aContext)
   , mFiller(aContext)
 {
@@ -14,8 +14,10 @@
   mAcceptor.open(endpoint.protocol());
   mAcceptor.set_option(asio::socket_base::reuse_address(true));
   mAcceptor.bind(endpoint);
-  mAcceptor.listen(0);
-  mFiller.connect(endpoint);
+  if (aManner == PortManner::Silent) {
+    mAcceptor.listen(0);
+    mFiller.connect(endpoint);
+  }
 }
 
 } // namespace guavaline::testing
--- a/testing/standin/silent_port.hpp
+++ b/testing/standin/held_port.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-/// A port that answers no attempt to connect, as one of a host without power.
+/// A port of a program that has ended, kept from others meanwhile.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -10,12 +10,18 @@
 
 namespace guavaline::testing {
 
-class SilentPort
+/// What becomes of attempts to connect.
+enum class PortManner {
+  Refuses = 1,
+  Silent, ///< They get no answer, as from a host without power.
+};
+
+class HeldPort
 {
 public:
   /// Throws where the port cannot be held.
-  SilentPort(boost::asio::io_context& aContext, const std::string& aAddress,
-             std::uint16_t aPort);
+  HeldPort(boost::asio::io_context& aContext, const std::string& aAddress,
+           std::uint16_t aPort, PortManner aManner);
 
 private:
   boost::asio::ip::tcp::acceptor mAcceptor;
--- a/testing/standin/platform_target.cpp
+++ b/testing/standin/platform_target.cpp
@@ -71,7 +71,7 @@
 
 std::string PlatformTarget::Start()
 {
-  mSilentPort.reset();
+  mHeldPort.reset();
   ++mLife;
   mServer = std::make_unique<detail::HttpServer>();
   return mServer->Listen(
@@ -90,15 +90,14 @@
   } else {
     mServer->Close();
   }
-  if (mManner != CrashManner::Refuses) {
-    mSilentPort =
-      std::make_unique<SilentPort>(mContext, mOptions.mAddress, mOptions.mPort);
-  }
+  mHeldPort = std::make_unique<HeldPort>(
+    mContext, mOptions.mAddress, mOptions.mPort,
+    mManner == CrashManner::Refuses ? PortManner::Refuses : PortManner::Silent);
 }
 
 void PlatformTarget::MoveTo(std::uint16_t aPort)
 {
-  mLeftPorts.push_back(std::move(mSilentPort));
+  mLeftPorts.push_back(std::move(mHeldPort));
   mOptions.mPort = aPort;
 }
 
--- a/testing/standin/platform_target.hpp
+++ b/testing/standin/platform_target.hpp
@@ -6,7 +6,7 @@
 
 #include "history/event.hpp"
 #include "http/server.hpp"
-#include "standin/silent_port.hpp"
+#include "standin/held_port.hpp"
 
 #include <functional>
 #include <memory>
@@ -82,9 +82,9 @@
   std::unique_ptr<detail::HttpServer> mServer;
   std::uint64_t mLife = 0; ///< Starts and crashes so far.
   CrashManner mManner = CrashManner::Refuses;
-  std::unique_ptr<SilentPort> mSilentPort;
+  std::unique_ptr<HeldPort> mHeldPort; ///< While it is down.
   /// Ports and connections that earlier lives left without a word.
-  std::vector<std::unique_ptr<SilentPort>> mLeftPorts;
+  std::vector<std::unique_ptr<HeldPort>> mLeftPorts;
   std::vector<std::unique_ptr<detail::HttpServer>> mMuteServers;
   std::function<void()> mOnCrash;
   double mSlow = 1;
--- a/tests/unit/crash_sharing_test.cpp
+++ b/tests/unit/crash_sharing_test.cpp
@@ -124,12 +124,14 @@
   CrashSilently(CrashManner::Mute, RequestKind::NonIdempotent);
 }
 
-// Guards against failures of whole domains that are taken for the doing of
-// the requests that ran there.
-Test(crash_sharing, requests_that_ran_in_failing_domains_are_served_after,
-     .timeout = 60)
+namespace {
+
+/// Fails four domains of six, one after another, and checks that no request
+/// is refused afterwards.
+void FailDomains(CrashManner aManner)
 {
   FleetOptions options;
+  options.mManner = aManner;
   options.mTargets = 36;
   options.mDomains = 6;
   options.mDownTime = 3s;
@@ -146,6 +148,23 @@
   cr_assert_eq(refused, 0U, "%zu of %zu refused", refused, popular.size());
 }
 
+} // namespace
+
+// Guards against failures of whole domains that are taken for the doing of
+// the requests that ran there.
+Test(crash_sharing, requests_that_ran_in_failing_domains_are_served_after,
+     .timeout = 60)
+{
+  FailDomains(CrashManner::Refuses);
+}
+
+// The same where the hosts of the domain lose power.
+Test(crash_sharing, requests_that_ran_in_silent_domains_are_served_after,
+     .timeout = 60)
+{
+  FailDomains(CrashManner::Mute);
+}
+
 // Guards against crashes of which only the entries of one region hear.
 Test(crash_sharing, each_other_region_is_told_through_one_of_its_entries)
 {
@@ -169,10 +188,10 @@
 Test(crash_sharing, evidence_survives_its_short_form)
 {
   const auto now = Clock::now();
-  const CrashEvidence evidence{
-    { { 0xfedcba9876543210ULL, 0xffffffffffffffffULL, now - 3s, now - 2s } },
-    { { 7, now - 1s } }
-  };
+  const CrashEvidence evidence{ { { 0xfedcba9876543210ULL,
+                                    0xffffffffffffffffULL, now - 3s, now - 2s },
+                                  { 8, 9, now - 1s, now - 1s, true } },
+                                { { 7, now - 1s } } };
   CrashMessage message;
   cr_assert(
     FromJson(ToJson(CrashMessage{ PackCrashes(evidence, now), true }), message)
@@ -180,12 +199,17 @@
   cr_assert(message.mPassOn);
   const auto heard = UnpackCrashes(message.mNews, now);
   cr_assert(heard);
-  cr_assert_eq(heard->mCrashes.size(), 1U);
+  cr_assert_eq(heard->mCrashes.size(), 2U);
+  cr_assert_not(heard->mCrashes[0].mUncertain);
+  cr_assert(heard->mCrashes[1].mUncertain);
   cr_assert_eq(heard->mCrashes[0].mDigest, 0xfedcba9876543210ULL);
   cr_assert_eq(heard->mCrashes[0].mLife, 0xffffffffffffffffULL);
   cr_assert(heard->mCrashes[0].mStarted == now - 3s);
   cr_assert(heard->mCrashes[0].mCrashed == now - 2s);
   cr_assert_eq(heard->mServed.size(), 1U);
+  message.mNews.mUncertain->push_back(2);
+  cr_assert_not(UnpackCrashes(message.mNews, now));
+  message.mNews.mUncertain.reset();
   message.mNews.mLives = { "not hexadecimal" };
   cr_assert_not(UnpackCrashes(message.mNews, now));
   message.mNews.mLives.clear();
--- a/tests/unit/crash_table_test.cpp
+++ b/tests/unit/crash_table_test.cpp
@@ -153,3 +153,56 @@
   }
   cr_assert_not(CrashesTargets(table, 1, kNow + 601s));
 }
+
+namespace {
+
+/// Two crashes of request 1 of which nobody saw the runs end, at kNow and 1 s
+/// later.
+void NoteUncertain(CrashTable& aTable)
+{
+  for (std::uint64_t life = 1; life <= 2; ++life) {
+    const auto at = kNow + (life - 1) * 1s;
+    NoteCrash(aTable, { 1, life, at, at, true }, at);
+  }
+}
+
+} // namespace
+
+// Guards against an innocent request that is refused for minutes since it was
+// under way at two hosts that failed.
+Test(crash_table, uncertain_crashes_leave_one_trial)
+{
+  CrashTable table;
+  NoteUncertain(table);
+  cr_assert(CrashesTargets(table, 1, kNow + 1s));
+  cr_assert_not(TakeTrial(table, 1, kNow + 5s));
+  cr_assert(TakeTrial(table, 1, kNow + 6s));
+  cr_assert_not(TakeTrial(table, 1, kNow + 60s));
+  cr_assert(NoteServed(table, { 1, kNow + 7s }));
+  cr_assert_not(CrashesTargets(table, 1, kNow + 7s));
+}
+
+// Guards against trials that end target after target.
+Test(crash_table, a_trial_that_crashes_a_target_is_the_last)
+{
+  CrashTable told;
+  CrashTable other;
+  NoteUncertain(told);
+  NoteUncertain(other);
+  cr_assert(TakeTrial(told, 1, kNow + 6s));
+  const Crash third{ 1, 3, kNow + 6s, kNow + 6s, true };
+  cr_assert(NoteCrash(told, third, kNow + 7s));
+  HearEvidence(other, { { third }, {} }, kNow + 7s);
+  cr_assert_not(TakeTrial(other, 1, kNow + 60s));
+}
+
+Test(crash_table, crashes_that_were_seen_leave_no_trial)
+{
+  CrashTable table;
+  CrashAt(table, 1, kNow);
+  CrashAt(table, 2, kNow + 2s);
+  cr_assert(CrashedUnder(table, 1, 2));
+  cr_assert_not(CrashedUnder(table, 1, 3));
+  cr_assert_not(TakeTrial(table, 1, kNow + 60s));
+  cr_assert_not(TakeTrial(table, 2, kNow + 60s));
+}
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry.hpp"
 #include "entry/rate_limits.hpp"
+#include "entry/request_state.hpp"
 
 #include "entry_fixtures.hpp"
 #include "fixtures.hpp"
@@ -516,7 +517,26 @@
   const auto& load = bed.mEntry.mRegistry.mTargets.at("t1")->mLoad;
   cr_assert_eq(load.mFailing, 0);
   cr_assert_eq(load.mOwn, 0U);
-  cr_assert(bed.mEntry.mRegistry.mTargets.at("t1")->mBroken.empty());
+  cr_assert(bed.mEntry.mRegistry.mTargets.at("t1")->mRuns.mBroken.empty());
+}
+
+// Guards against a refused request that is never sent again, so that it cannot
+// show that it crashes nothing.
+Test(forward, a_request_suspect_by_uncertain_signs_is_tried_once)
+{
+  Bed bed(RequestKind::Idempotent);
+  bed.Add(Serve);
+  cr_assert_eq(bed.Send().mStatus, 200U);
+  HttpRequest request;
+  request.mTarget = "/x/1";
+  const auto digest = DigestOf(bed.mEntry, request);
+  for (std::uint64_t life = 1; life <= 2; ++life) {
+    const auto at = Clock::now() - 20s + life * 1s;
+    NoteCrash(bed.mEntry.mCrashTable, { digest, life, at, at, true }, at);
+  }
+  NoteContact(bed.mEntry.mRoster, Clock::now());
+  cr_assert_eq(bed.Send().mStatus, 200U);
+  cr_assert_not(CrashesTargets(bed.mEntry.mCrashTable, digest, Clock::now()));
 }
 
 Test(forward, requests_of_a_split_route_are_counted_by_service)
