guavalined: blame a request for a crash only where the target has ended

What callers saw: 422 for minutes for a request whose answers had been lost twice, though no target had crashed; and no refusal at all where hosts fell silent, as an entry counted breaks of connections and nothing else.

Cause: a broken connection was taken for a crash. Each entry counted alone and told the others digests without the crashes. Any answer cleared a request, also one that said that the target was full. The same class as at the entries.

Design: the same decisions as there (RunWatch, CrashTable, CrashNews), with a shell of its own in src/forwarding/crashes.cpp: the target is asked, then others of its failure domain; heartbeats carry the crashes; one live entry makes the trial; only an answer below 500 clears.

--- a/include/guavaline/crashes/run_watch.hpp
+++ b/include/guavaline/crashes/run_watch.hpp
@@ -5,6 +5,7 @@
 
 #include <guavaline/crashes/crash_table.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -33,6 +34,12 @@
   AnotherLife, ///< Another one registers under its id or at its address.
 };
 
+/// @returns a sign's name in logs
+[[nodiscard]] const char* NameOf(EndSign aSign) noexcept;
+
+/// Others of a failure domain that are asked whether all of it has failed.
+inline constexpr std::size_t kMaxSiblings = 3;
+
 /// The runs of one life of a target, as one entry sees them.
 struct RunWatch
 {
@@ -68,6 +75,14 @@
 /// @returns true where something may have crashed the target
 [[nodiscard]] bool HasSuspects(const RunWatch& aWatch) noexcept;
 
+/// @returns the requests that may have crashed the target
+[[nodiscard]] std::vector<std::uint64_t> SuspectDigests(const RunWatch& aWatch);
+
+/// @returns true where a request that may have crashed one target broke with
+///          another one, too
+[[nodiscard]] bool ShareSuspects(const RunWatch& aWatch,
+                                 const RunWatch& aOther);
+
 /// Takes the runs under which a life may have ended. Runs that broke with
 /// their connection count from that moment, others, which may have been
 /// pointless all along, from their start and as uncertain.
--- a/include/guavaline/membership/membership.hpp
+++ b/include/guavaline/membership/membership.hpp
@@ -109,6 +109,11 @@
 /// make a host leave but not make it live.
 void NoteListed(MembershipView& aView, const std::string& aName, bool aLeaving);
 
+/// @returns true where this entry comes first of the live ones in an order
+///          that each seed has of its own
+[[nodiscard]] bool IsFirstFor(const MembershipView& aView, std::uint64_t aSeed,
+                              TimePoint aNow);
+
 /// @returns true where every configured entry that is not gone has a
 ///          configuration of at least this version in force
 [[nodiscard]] bool AllHaveVersion(const MembershipView& aView,
--- a/include/guavaline/targets/health.hpp
+++ b/include/guavaline/targets/health.hpp
@@ -5,6 +5,7 @@
 #include <guavaline/admission/slots.hpp>
 #include <guavaline/configuration/model.hpp>
 #include <guavaline/core/time.hpp>
+#include <guavaline/crashes/run_watch.hpp>
 
 #include <functional>
 #include <optional>
@@ -25,6 +26,7 @@
   std::uint32_t mEjections = 0; ///< Ejections since it last worked.
   TimePoint mEjectedUntil{};
   TimePoint mMeasured{}; ///< Time of the last exchange.
+  RunWatch mRuns;
 };
 
 /// Notes a whole answer.
--- a/src/crashes/run_watch.cpp
+++ b/src/crashes/run_watch.cpp
@@ -28,6 +28,19 @@
 
 } // namespace
 
+const char* NameOf(EndSign aSign) noexcept
+{
+  switch (aSign) {
+    case EndSign::RefusesConnections:
+      return "refuses_connections";
+    case EndSign::Silent:
+      return "silent";
+    case EndSign::AnotherLife:
+      break;
+  }
+  return "another_life";
+}
+
 std::uint64_t StartRun(RunWatch& aWatch, std::uint64_t aDigest, TimePoint aNow)
 {
   aWatch.mUnderWay[++aWatch.mLastRun] = { aDigest, aNow };
@@ -66,6 +79,28 @@
          !aWatch.mAbandoned.empty();
 }
 
+std::vector<std::uint64_t> SuspectDigests(const RunWatch& aWatch)
+{
+  std::vector<std::uint64_t> out;
+  for (const auto& it : aWatch.mBroken) {
+    out.push_back(it.mDigest);
+  }
+  for (const auto& [number, run] : aWatch.mUnderWay) {
+    out.push_back(run.mDigest);
+  }
+  return out;
+}
+
+bool ShareSuspects(const RunWatch& aWatch, const RunWatch& aOther)
+{
+  const auto suspects = SuspectDigests(aWatch);
+  return std::any_of(aOther.mBroken.begin(), aOther.mBroken.end(),
+                     [&](const BrokenRun& a) {
+                       return std::find(suspects.begin(), suspects.end(),
+                                        a.mDigest) != suspects.end();
+                     });
+}
+
 std::vector<Crash> TakeCrashes(RunWatch& aWatch, std::uint64_t aLife,
                                EndSign aSign, TimePoint aSilence,
                                TimePoint aNow)
--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -17,34 +17,6 @@
 namespace {
 
 constexpr std::size_t kMaxNews = 64;
-/// Others of a failure domain that are asked whether all of it has failed.
-constexpr std::size_t kMaxSiblings = 3;
-
-const char* NameOf(EndSign aSign)
-{
-  switch (aSign) {
-    case EndSign::RefusesConnections:
-      return "refuses_connections";
-    case EndSign::Silent:
-      return "silent";
-    case EndSign::AnotherLife:
-      break;
-  }
-  return "another_life";
-}
-
-const char* NameOf(ListenState aState)
-{
-  switch (aState) {
-    case ListenState::Listens:
-      return "listens";
-    case ListenState::Refuses:
-      return "refused";
-    case ListenState::Silent:
-      break;
-  }
-  return "silent";
-}
 
 /// Counts the runs of a target whose life has ended as crashes under them.
 /// @param aSilence  since when it has been silent
@@ -79,19 +51,11 @@
 bool SharesSuspects(const Entry& aEntry, const LiveTarget& aTarget,
                     const LiveTarget& aOther)
 {
-  const auto isShared = [&](std::uint64_t aDigest) {
-    const auto same = [aDigest](const BrokenRun& a) {
-      return a.mDigest == aDigest;
-    };
-    const auto& broken = aOther.mRuns.mBroken;
-    return CrashedUnder(aEntry.mCrashTable, aDigest, aOther.mLife) ||
-           std::any_of(broken.begin(), broken.end(), same);
-  };
-  const auto& runs = aTarget.mRuns;
-  return std::any_of(runs.mBroken.begin(), runs.mBroken.end(),
-                     [&](const BrokenRun& a) { return isShared(a.mDigest); }) ||
-         std::any_of(runs.mUnderWay.begin(), runs.mUnderWay.end(),
-                     [&](const auto& a) { return isShared(a.second.mDigest); });
+  const auto suspects = SuspectDigests(aTarget.mRuns);
+  return ShareSuspects(aTarget.mRuns, aOther.mRuns) ||
+         std::any_of(suspects.begin(), suspects.end(), [&](std::uint64_t a) {
+           return CrashedUnder(aEntry.mCrashTable, a, aOther.mLife);
+         });
 }
 
 /// @returns others of a target's failure domain, those heard last first, which
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/exchange.hpp"
 
 #include "daemon/log.hpp"
+#include "forwarding/crashes.hpp"
 #include "forwarding/forward.hpp"
 
 #include <guavaline/core/hash.hpp>
@@ -100,7 +101,10 @@
     const auto time = std::chrono::duration_cast<Millis>(now - aStarted);
     NoteSuccess(health, time, now);
     NoteServiceTime(state, aCall.mClass.mName, time);
-    NoteServed(aNode.mCrashTable, { aCall.mDigest, now });
+    health.mRuns.mHeard = now;
+    if (aResult.mResponse->mStatus < 500) {
+      NoteServed(aNode.mCrashTable, { aCall.mDigest, now });
+    }
     if (!FindHeader(aResult.mResponse->mHeaders, kTargetLeavingHeader)
            .empty()) {
       NoteSaidLeaving(health);
@@ -111,18 +115,18 @@
   if (aResult.mConnectFailed && !aResult.mTimedOut) {
     NoteProbe(health, false, false);
   }
-  const bool broke = aResult.mMayHaveReached && !aResult.mTimedOut;
-  if (broke) {
-    // Each break counts as an end of the target's life.
-    const auto life =
-      HashPair(Hash(aHold.Held().mName),
-               static_cast<std::uint64_t>(aStarted.time_since_epoch().count()));
-    NoteCrash(aNode.mCrashTable, { aCall.mDigest, life, aStarted, now }, now);
+  const TargetName name{ aCall.mService, aHold.Held().mName };
+  if (aResult.mMayHaveReached) {
+    const auto end = aResult.mTimedOut ? RunEnd::Unseen : RunEnd::Broke;
+    NoteBrokenRun(aNode, name, { aCall.mDigest, aStarted, now, end });
+  } else if (aResult.mConnectFailed) {
+    NoteFailedConnection(aNode, name);
   }
   Log(LogLevel::Warning, "exchange_failed",
       { { "service", aCall.mService },
         { "target", aHold.Held().mName },
         { "identity", aCall.mIdentity },
+        { "digest", HexId(aCall.mDigest) },
         { "step", aResult.mError.mStep },
         { "peer", aResult.mError.mPeer },
         { "error", aResult.mError.mReason } });
@@ -182,6 +186,8 @@
   options.mReuseWithin =
     aCall.mClass.mIdempotent ? kReuseIdempotent : kReuseOnce;
   const auto started = Clock::now();
+  const RunCount count(aNode, { aCall.mService, target.mName }, aCall.mDigest,
+                       started);
   aHold.Linger();
   auto result = co_await aNode.mTargetClient.Exchange(
     endpoint, ForTarget(aNode, aCall, aDeadline), options);
--- a/src/forwarding/forward.cpp
+++ b/src/forwarding/forward.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/described.hpp"
 #include "daemon/log.hpp"
+#include "forwarding/crashes.hpp"
 #include "forwarding/exchange.hpp"
 #include "forwarding/flights.hpp"
 #include "forwarding/placement.hpp"
@@ -167,7 +168,8 @@
   call.mIdentity = FindHeader(aRequest.mHeaders, kIdentityHeader);
   call.mRequest = std::move(aRequest);
   call.mRequest.mTarget = TargetPath(call.mRequest.mTarget);
-  if (CrashesTargets(aNode.mCrashTable, call.mDigest, call.mStarted)) {
+  if (CrashesTargets(aNode.mCrashTable, call.mDigest, call.mStarted) &&
+      !MayTry(aNode, call.mDigest, call.mStarted)) {
     auto out = Refusal(422, "no", "crashes_targets");
     NoteEnd(aNode, call, out);
     co_return out;
--- a/src/http/probe.cpp
+++ b/src/http/probe.cpp
@@ -42,6 +42,19 @@
 
 } // namespace
 
+const char* NameOf(ListenState aState) noexcept
+{
+  switch (aState) {
+    case ListenState::Listens:
+      return "listens";
+    case ListenState::Refuses:
+      return "refused";
+    case ListenState::Silent:
+      break;
+  }
+  return "silent";
+}
+
 asio::awaitable<ListenState> ProbeListener(HttpClient& aClient, Endpoint aPeer)
 {
   ExchangeOptions options;
--- a/src/http/probe.hpp
+++ b/src/http/probe.hpp
@@ -14,6 +14,9 @@
   Silent, ///< No answer in time.
 };
 
+/// @returns a state's name in logs
+[[nodiscard]] const char* NameOf(ListenState aState) noexcept;
+
 /// Opens a connection; where that works, it is kept for the next exchange.
 [[nodiscard]] boost::asio::awaitable<ListenState> ProbeListener(
   HttpClient& aClient, Endpoint aPeer);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,5 +1,7 @@
 #include <guavaline/membership/membership.hpp>
 
+#include <guavaline/core/hash.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -179,4 +181,15 @@
     });
 }
 
+bool IsFirstFor(const MembershipView& aView, std::uint64_t aSeed,
+                TimePoint aNow)
+{
+  const auto own = HashPair(aSeed, Hash(aView.mSelf.mEntry));
+  return std::none_of(
+    aView.mMembers.begin(), aView.mMembers.end(), [&](const auto& a) {
+      return StatusOf(aView, a.first, aNow) == MemberStatus::Alive &&
+             HashPair(aSeed, Hash(a.first)) > own;
+    });
+}
+
 } // namespace guavaline
