Soak: a request that crashes targets, in three manners

One request comes to any entry every 0.3 s for the whole run. Targets that it crashes refuse connections, fall silent, or leave their connections mute, and are back after 3 s under a new id; their registrations lapse after 4.5 s. The check counts runs later than 4 s after the third, by entries in touch: three are allowed.

--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -41,6 +41,8 @@
 constexpr Kind kReads{ "GET", "/read/", Millis(2'000), 0 };
 constexpr Kind kConfirmations{ "POST", "/confirm/", Millis(2'500), 400 };
 constexpr Kind kUploads{ "POST", "/upload/", Millis(2'000), 40'000 };
+constexpr Kind kCrashing{ "GET", "/read/crash/", Millis(2'000), 0 };
+constexpr Millis kCrasherGap{ 300 };
 constexpr Kind kSplit{ kSplitMethod, "/split/", Millis(2'000), 100 };
 
 /// Status codes that promise that a request has not run.
@@ -77,6 +79,22 @@
     }
   }
 
+  /// Sends a request that crashes targets, again and again, to any entry.
+  asio::awaitable<void> SendCrasher()
+  {
+    while (Clock::now() < mOptions.mEnd) {
+      asio::steady_timer timer(mContext, kCrasherGap);
+      co_await timer.async_wait(asio::use_awaitable);
+      const auto& entry =
+        mOptions.mEntries[mRandom() % mOptions.mEntries.size()];
+      asio::co_spawn(mContext,
+                     Send(kCrashing, entry,
+                          kCrasherName + std::to_string(++mCalls), "1",
+                          Clock::now() + kCrashing.mLimit),
+                     asio::detached);
+    }
+  }
+
 private:
   Kind PickKind()
   {
@@ -246,6 +264,8 @@
       std::make_unique<SoakCaller>(context, aOptions, n, aHistory));
     asio::co_spawn(context, callers.back()->Run(), asio::detached);
   }
+  SoakCaller crasher(context, aOptions, aOptions.mCallers, aHistory);
+  asio::co_spawn(context, crasher.SendCrasher(), asio::detached);
   context.run();
 }
 
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -258,6 +258,36 @@
   return out;
 }
 
+/// Requests that crash targets and are sent on.
+Lines CheckCrashers(const SoakHistory& aHistory)
+{
+  const auto& bounds = aHistory.mBounds;
+  std::vector<const Event*> runs;
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind == EventKind::RunStarted &&
+        it.mIdentity.starts_with(kCrasherName)) {
+      runs.push_back(&it);
+    }
+  }
+  if (runs.size() < 3) {
+    return {};
+  }
+  const auto from = runs[2]->mMicros + Micros(bounds.mInTouch);
+  std::vector<const Event*> late;
+  std::copy_if(runs.begin(), runs.end(), std::back_inserter(late),
+               [&](const Event* a) {
+                 return a->mMicros > from &&
+                        IsInTouch(aHistory, { a->mPlace, StopOf(a->mPlace) },
+                                  a->mMicros, a->mMicros);
+               });
+  if (late.size() <= bounds.mCrashersLate) {
+    return {};
+  }
+  return { "a request that crashes targets is sent on: " +
+           std::to_string(late.size()) + " of " + std::to_string(runs.size()) +
+           " runs are late: " + At(*late.back()) };
+}
+
 /// Requests that a planned stop cut although a target was at work on them.
 Lines CheckStops(const SoakHistory& aHistory)
 {
@@ -348,7 +378,7 @@
        { CheckAtMostOnce(aHistory.mEvents), CheckTruth(aHistory.mEvents),
          CheckOwnAnswers(aHistory.mEvents), CheckAsked(aHistory),
          CheckDrain(aHistory), CheckRouting(aHistory), CheckWeights(aHistory),
-         CheckLimits(aHistory), CheckStops(aHistory),
+         CheckLimits(aHistory), CheckStops(aHistory), CheckCrashers(aHistory),
          CheckRecovery(aHistory) }) {
     out.insert(out.end(), lines.begin(), lines.end());
   }
--- a/testing/soak/checks.hpp
+++ b/testing/soak/checks.hpp
@@ -14,6 +14,9 @@
 /// Requests on the split route have this method, which tells their runs apart.
 inline constexpr const char* kSplitMethod = "PUT";
 
+/// Identities of requests that crash targets begin so.
+inline constexpr const char* kCrasherName = "crasher-";
+
 /// A time in which something was harmed.
 struct Impairment
 {
@@ -42,6 +45,9 @@
   Millis mLimitWindow{ 4'000 };
   double mLimitOver = 1.5; ///< Factor on the limit, ...
   double mLimitSlack = 5;  ///< ... and requests on top of it.
+  /// Runs of a request that crashes targets, from the calm time after its
+  /// third.
+  std::size_t mCrashersLate = 3;
 };
 
 /// Everything a soak saw.
--- a/testing/soak/proxy.cpp
+++ b/testing/soak/proxy.cpp
@@ -170,10 +170,15 @@
   }
 }
 
-void SoakProxy::Close()
+void SoakProxy::StopListening()
 {
   Ignore ec;
   mAcceptor.close(ec);
+}
+
+void SoakProxy::Close()
+{
+  StopListening();
   ResetAll();
 }
 
--- a/testing/soak/proxy.hpp
+++ b/testing/soak/proxy.hpp
@@ -37,6 +37,8 @@
   /// @returns an empty text, or the reason why it cannot listen
   [[nodiscard]] std::string Listen(const detail::Endpoint& aWhere);
   void SetFaults(const ProxyFaults& aFaults) { mFaults = aFaults; }
+  /// Takes no new connections.
+  void StopListening();
   /// Ends everything.
   void Close();
   /// Resets the open connections.
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -420,10 +420,14 @@
   void Judge(SoakVerdict& aOut)
   {
     mHistory.mEvents = mWorld.Events().Copy();
+    const auto& crashed = mWorld.CrashedByRequests();
+    std::printf("targets crashed by requests: %zu\n", crashed.size());
+    mHistory.mImpairments.insert(mHistory.mImpairments.end(), crashed.begin(),
+                                 crashed.end());
     SortEvents(mHistory.mEvents);
     aOut.mBroken = CheckSoak(mHistory);
     aOut.mBroken.insert(aOut.mBroken.end(), mLate.begin(), mLate.end());
-    aOut.mImpairments = mHistory.mImpairments.size();
+    aOut.mImpairments = mHistory.mImpairments.size() - crashed.size();
     for (const auto& it : mHistory.mEvents) {
       aOut.mSent += it.mKind == EventKind::CallSent ? 1U : 0U;
       const bool answered = it.mKind == EventKind::CallAnswered;
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -4,8 +4,12 @@
 
 #include <guavaline/core/hash.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <csignal>
 #include <cstdio>
@@ -33,6 +37,12 @@
 constexpr Millis kSettle{ 1'000 };
 const char* const kServices[] = { "alpha", "beta" };
 constexpr int kPercent = 100;
+/// How targets of a region end in turn under a request that crashes them.
+constexpr CrashManner kManners[] = { CrashManner::Refuses, CrashManner::Silent,
+                                     CrashManner::Mute };
+constexpr Millis kCrashDownTime{ 3'000 };
+/// The registration of a crashed target goes this long after the crash.
+constexpr Millis kCrashLapseTime{ 4'500 };
 
 json::object Resource(const char* aType, const std::string& aName,
                       json::object aSpec)
@@ -162,10 +172,14 @@
                                kServices[k % std::size(kServices)],
                                place.mListen.mAddress, place.mListen.mPort },
         mHistory, HashPair(mOptions.mSeed, mNextTarget));
+      place.mTarget->SetCrashManner(kManners[k % std::size(kManners)]);
       place.mBorn = static_cast<std::int64_t>(mNextTarget++);
       mTargets.push_back(std::move(place));
     }
   }
+  for (auto& it : mTargets) {
+    it.mTarget->OnCrash([this, &it] { EndByRequest(it); });
+  }
 }
 
 std::string World::ListenAll()
@@ -404,17 +418,66 @@
     const auto& about = place.mTarget->About();
     mStore.Remove("servers", about.mId);
     // Its address may go to the other service.
-    const auto service = kServices[mNextTarget % std::size(kServices)];
-    place.mTarget->Become("t" + std::to_string(mNextTarget), service);
-    place.mBorn = static_cast<std::int64_t>(mNextTarget++);
-    if (const auto problem = place.mTarget->Start(); problem.empty()) {
-      Register(place, "ready");
-    } else {
-      std::printf("target cannot restart: %s\n", problem.c_str());
-    }
+    Revive(place, kServices[mNextTarget % std::size(kServices)]);
   });
 }
 
+void World::Revive(TargetPlace& aPlace, std::string aService)
+{
+  if (!aPlace.mTarget->IsDown()) {
+    return;
+  }
+  aPlace.mTarget->Become("t" + std::to_string(mNextTarget),
+                         std::move(aService));
+  aPlace.mBorn = static_cast<std::int64_t>(mNextTarget++);
+  auto problem = aPlace.mTarget->Start();
+  if (problem.empty() && aPlace.mHeldPort) {
+    aPlace.mHeldPort.reset();
+    problem = aPlace.mProxy->Listen(aPlace.mProxyAt);
+  }
+  if (problem.empty()) {
+    Register(aPlace, "ready");
+  } else {
+    std::printf("target cannot restart: %s\n", problem.c_str());
+  }
+}
+
+void World::EndByRequest(TargetPlace& aPlace)
+{
+  const auto& about = aPlace.mTarget->About();
+  const auto now = NowMicros();
+  mCrashed.push_back(
+    { about.mId, now,
+      now + std::chrono::microseconds(kCrashDownTime).count() });
+  aPlace.mState = "";
+  if (aPlace.mTarget->Manner() == CrashManner::Mute) {
+    aPlace.mProxy->StopListening();
+    aPlace.mProxy->SilenceAll();
+  } else {
+    aPlace.mProxy->Close();
+  }
+  const auto manner = aPlace.mTarget->Manner() == CrashManner::Refuses
+                        ? PortManner::Refuses
+                        : PortManner::Silent;
+  aPlace.mHeldPort.reset();
+  aPlace.mHeldPort = std::make_unique<HeldPort>(
+    mContext, aPlace.mProxyAt.mAddress, aPlace.mProxyAt.mPort, manner);
+  boost::asio::co_spawn(mContext, ComeBack(aPlace, about.mId),
+                        boost::asio::detached);
+}
+
+boost::asio::awaitable<void> World::ComeBack(TargetPlace& aPlace,
+                                             std::string aOld)
+{
+  const std::string service = aPlace.mTarget->About().mService;
+  boost::asio::steady_timer timer(mContext, kCrashDownTime);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+  Revive(aPlace, service);
+  timer.expires_after(kCrashLapseTime - kCrashDownTime);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+  mStore.Remove("servers", aOld);
+}
+
 void World::DrainTarget(std::size_t aTarget)
 {
   OnWorld([&] {
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -97,6 +97,12 @@
   void ChangeRouting();
   void Evacuate(const std::string& aZone, bool aEmptied);
   [[nodiscard]] std::string ZoneOf(std::size_t aEntry) const;
+  /// @returns when targets were down since requests had crashed them; called
+  ///          after Stop
+  [[nodiscard]] const std::vector<Impairment>& CrashedByRequests() const
+  {
+    return mCrashed;
+  }
 
 private:
   struct TargetPlace
@@ -109,8 +115,15 @@
     std::int64_t mBorn = 0;
     std::uint64_t mSequence = 0;
     const char* mState = ""; ///< As last registered; empty once crashed.
+    /// The proxy's port, once a request has crashed the target.
+    std::unique_ptr<HeldPort> mHeldPort;
   };
 
+  /// Harms the paths to a target as its host's end does. It is back later.
+  void EndByRequest(TargetPlace& aPlace);
+  boost::asio::awaitable<void> ComeBack(TargetPlace& aPlace, std::string aOld);
+  /// Starts a target that is down under a new id.
+  void Revive(TargetPlace& aPlace, std::string aService);
   void OnWorld(const std::function<void()>& aDo);
   void PutRouting();
   void Register(TargetPlace& aPlace, const char* aState);
@@ -132,6 +145,7 @@
   std::set<std::string> mEvacuated; ///< Zones.
   std::uint64_t mVersion = 1;
   std::uint64_t mNextTarget = 1;
+  std::vector<Impairment> mCrashed;
   std::thread mThread;
 };
 
--- a/testing/standin/platform_target.cpp
+++ b/testing/standin/platform_target.cpp
@@ -82,6 +82,9 @@
 
 void PlatformTarget::Crash()
 {
+  if (IsDown()) {
+    return;
+  }
   ++mLife;
   if (mManner == CrashManner::Mute) {
     mServer->StopListening();
@@ -151,7 +154,7 @@
     co_return out;
   }
   PlatformRun run(*this, aRequest);
-  if (aRequest.mTarget.starts_with(kCrashPath)) {
+  if (aRequest.mTarget.find(kCrashPath) != std::string::npos) {
     CrashByRequest();
   }
   std::exponential_distribution<double> spread(1 / mOptions.mMeanMs);
--- a/testing/standin/platform_target.hpp
+++ b/testing/standin/platform_target.hpp
@@ -17,7 +17,7 @@
 /// Header by which soak callers name the entry that they sent to.
 inline constexpr const char* kEntryHeader = "X-Soak-Entry";
 
-/// Requests whose path begins so crash each target that begins to run them.
+/// Requests with this in their path crash each target that begins to run them.
 inline constexpr std::string_view kCrashPath = "/crash/";
 
 /// What a crashed target's host still does.
@@ -48,7 +48,9 @@
   [[nodiscard]] std::string Start();
   /// Ends its life in the manner set.
   void Crash();
+  [[nodiscard]] bool IsDown() const noexcept { return mHeldPort != nullptr; }
   void SetCrashManner(CrashManner aManner) noexcept { mManner = aManner; }
+  [[nodiscard]] CrashManner Manner() const noexcept { return mManner; }
   /// A crashed target comes back as another one at the same address.
   void Become(std::string aId, std::string aService);
   /// A crashed target comes back at another port; the one that it had stays
--- a/tests/unit/soak_checks_test.cpp
+++ b/tests/unit/soak_checks_test.cpp
@@ -220,3 +220,34 @@
   history.mEvents.push_back(named);
   cr_assert_eq(Broken(history), 0U);
 }
+
+namespace {
+
+/// Runs of a request that crashes targets, one each second.
+void AddCrasherRuns(SoakHistory& aHistory, int aRuns)
+{
+  for (int n = 1; n <= aRuns; ++n) {
+    const auto id = kCrasherName + std::to_string(n);
+    auto event = MakeEvent(n * kSecond, EventKind::CallSent, id.c_str());
+    aHistory.mEvents.push_back(event);
+    event.mKind = EventKind::RunStarted;
+    aHistory.mEvents.push_back(event);
+  }
+}
+
+} // namespace
+
+Test(soak_checks, a_request_that_crashes_targets_is_not_sent_on)
+{
+  // Sends count from 4 s after the third; three are allowed.
+  auto history = MakeCalm();
+  AddCrasherRuns(history, 10);
+  cr_assert_eq(Broken(history), 0U);
+  history = MakeCalm();
+  AddCrasherRuns(history, 11);
+  history.mImpairments.push_back({ "e1", 9 * kSecond, 10 * kSecond });
+  cr_assert_eq(Broken(history), 0U);
+  history = MakeCalm();
+  AddCrasherRuns(history, 11);
+  cr_assert_eq(Broken(history), 1U);
+}
