--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -37,7 +37,8 @@
 constexpr Millis kSettle{ 1'000 };
 const char* const kServices[] = { "alpha", "beta" };
 constexpr int kPercent = 100;
-/// How targets of a region end in turn under a request that crashes them.
+/// How targets end under a request that crashes them, by seed; with every
+/// fourth seed each in its own way.
 constexpr CrashManner kManners[] = { CrashManner::Refuses, CrashManner::Silent,
                                      CrashManner::Mute };
 constexpr Millis kCrashDownTime{ 3'000 };
@@ -172,7 +173,10 @@
                                kServices[k % std::size(kServices)],
                                place.mListen.mAddress, place.mListen.mPort },
         mHistory, HashPair(mOptions.mSeed, mNextTarget));
-      place.mTarget->SetCrashManner(kManners[k % std::size(kManners)]);
+      const auto manner = mOptions.mSeed % (std::size(kManners) + 1);
+      place.mTarget->SetCrashManner(manner < std::size(kManners)
+                                      ? kManners[manner]
+                                      : kManners[k % std::size(kManners)]);
       place.mBorn = static_cast<std::int64_t>(mNextTarget++);
       mTargets.push_back(std::move(place));
     }
