Crashes that no other target of the domain can explain are uncertain

Found by reading: where a request ran at all targets of a domain that failed, none was left to ask, and the request was blamed as if others had answered. Such crashes are uncertain now, so that one trial can clear it. Targets of guavalined whose health says that they leave may end with runs under way, as at the entries. A registration that only renews a known life no longer looks through all targets, which would be work at each heartbeat of each target.

--- a/include/guavaline/crashes/run_watch.hpp
+++ b/include/guavaline/crashes/run_watch.hpp
@@ -37,6 +37,13 @@
 /// @returns a sign's name in logs
 [[nodiscard]] const char* NameOf(EndSign aSign) noexcept;
 
+/// What others of a target's failure domain show.
+enum class DomainState {
+  Serves = 1,
+  Failed,  ///< None of those asked takes connections.
+  Unknown, ///< There is no other that the same requests cannot have crashed.
+};
+
 /// Others of a failure domain that are asked whether all of it has failed.
 inline constexpr std::size_t kMaxSiblings = 3;
 
@@ -94,4 +101,7 @@
                                              TimePoint aSilence,
                                              TimePoint aNow);
 
+/// Marks crashes as uncertain, where their requests may not be to blame.
+void MakeUncertain(std::vector<Crash>& aCrashes) noexcept;
+
 } // namespace guavaline
--- a/src/crashes/run_watch.cpp
+++ b/src/crashes/run_watch.cpp
@@ -130,4 +130,11 @@
   return out;
 }
 
+void MakeUncertain(std::vector<Crash>& aCrashes) noexcept
+{
+  for (auto& it : aCrashes) {
+    it.mUncertain = true;
+  }
+}
+
 } // namespace guavaline
--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -19,13 +19,11 @@
 constexpr std::size_t kMaxNews = 64;
 
 /// Counts the runs of a target whose life has ended as crashes under them.
-/// @param aSilence  since when it has been silent
-void CountCrashes(Entry& aEntry, LiveTarget& aTarget, EndSign aSign,
-                  TimePoint aSilence, TimePoint aNow)
+void CountCrashes(Entry& aEntry, LiveTarget& aTarget,
+                  const std::vector<Crash>& aCrashes, EndSign aSign,
+                  TimePoint aNow)
 {
-  const auto crashes =
-    TakeCrashes(aTarget.mRuns, aTarget.mLife, aSign, aSilence, aNow);
-  for (const auto& it : crashes) {
+  for (const auto& it : aCrashes) {
     if (!NoteCrash(aEntry.mCrashTable, it, aNow)) {
       continue;
     }
@@ -40,7 +38,7 @@
           CrashesTargets(aEntry.mCrashTable, it.mDigest, aNow) ? "yes"
                                                                : "no" } });
   }
-  if (!crashes.empty()) {
+  if (!aCrashes.empty()) {
     aEntry.mMetrics.Count("target_crashes",
                           "service=\"" + aTarget.mRegistration.mService + "\"");
   }
@@ -80,20 +78,23 @@
 }
 
 /// @param aSince  when the target was last known to serve
-/// @returns true where other targets of a target's failure domain do not
-///          answer either, so that its requests are not to blame
-asio::awaitable<bool> HasDomainFailed(Entry& aEntry, TargetPtr aTarget,
-                                      TimePoint aSince)
+asio::awaitable<DomainState> FindDomainState(Entry& aEntry, TargetPtr aTarget,
+                                             TimePoint aSince)
 {
   const auto siblings = SiblingsOf(aEntry, *aTarget);
-  if (siblings.empty() || siblings.front()->mRuns.mHeard > aSince) {
-    co_return false;
+  if (siblings.empty()) {
+    co_return DomainState::Unknown;
+  }
+  if (siblings.front()->mRuns.mHeard > aSince) {
+    co_return DomainState::Serves;
   }
   std::vector<Endpoint> peers;
   for (const auto& it : siblings) {
     peers.push_back(*ParseEndpoint(it->mRegistration.mAddress));
   }
-  co_return !co_await AnyListens(aEntry.mTargetClient, std::move(peers));
+  const bool serves =
+    co_await AnyListens(aEntry.mTargetClient, std::move(peers));
+  co_return serves ? DomainState::Serves : DomainState::Failed;
 }
 
 /// Judges a target that takes no connections.
@@ -105,21 +106,24 @@
       !HasSuspects(aTarget->mRuns)) {
     co_return;
   }
-  const bool failed = co_await HasDomainFailed(aEntry, aTarget, aSince);
+  const auto domain = co_await FindDomainState(aEntry, aTarget, aSince);
   const auto now = Clock::now();
   if (aSign == EndSign::Silent && aTarget->mRuns.mHeard > aSince) {
     co_return;
   }
-  if (failed) {
+  auto crashes =
+    TakeCrashes(aTarget->mRuns, aTarget->mLife, aSign, aSince, now);
+  if (domain == DomainState::Failed) {
     LogBounded(LogClass::Failure, LogLevel::Warning, "failure_domain_silent",
                { { "target", aTarget->mRegistration.mId },
                  { "failure_domain", aTarget->mRegistration.mFailureDomain },
                  { "sign", NameOf(aSign) } });
-    static_cast<void>(
-      TakeCrashes(aTarget->mRuns, aTarget->mLife, aSign, aSince, now));
     co_return;
   }
-  CountCrashes(aEntry, *aTarget, aSign, aSince, now);
+  if (domain == DomainState::Unknown) {
+    MakeUncertain(crashes);
+  }
+  CountCrashes(aEntry, *aTarget, crashes, aSign, now);
 }
 
 /// Asks a target that gave no answer whether it still listens.
@@ -156,6 +160,15 @@
   }
 }
 
+/// @returns true where a life has registered before
+bool IsKnown(const TargetRegistry& aRegistry, const Registration& aNew)
+{
+  const auto it = aRegistry.mTargets.find(aNew.mId);
+  return it != aRegistry.mTargets.end() &&
+         it->second->mRegistration.mStarted == aNew.mStarted &&
+         it->second->mRegistration.mAddress == aNew.mAddress;
+}
+
 /// @returns true where a registration shows that a target's life has ended
 bool Ends(const Registration& aNew, const Registration& aOld)
 {
@@ -193,15 +206,19 @@
                  TimePoint aNow)
 {
   auto targets = aEntry.mBrokenTargets;
-  for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
-    if (HasSuspects(target->mRuns)) {
-      targets.push_back(target);
+  if (!IsKnown(aEntry.mRegistry, aRegistration)) {
+    for (const auto& [id, target] : aEntry.mRegistry.mTargets) {
+      if (HasSuspects(target->mRuns)) {
+        targets.push_back(target);
+      }
     }
   }
   for (const auto& it : targets) {
     if (Ends(aRegistration, it->mRegistration) &&
         !HasSaidLeaving(aEntry.mRegistry, *it)) {
-      CountCrashes(aEntry, *it, EndSign::AnotherLife, aNow, aNow);
+      const auto crashes =
+        TakeCrashes(it->mRuns, it->mLife, EndSign::AnotherLife, aNow, aNow);
+      CountCrashes(aEntry, *it, crashes, EndSign::AnotherLife, aNow);
     }
   }
 }
--- a/src/forwarding/crashes.cpp
+++ b/src/forwarding/crashes.cpp
@@ -52,6 +52,11 @@
   return { aTarget.mTarget->mAddress, aTarget.mTarget->mPort };
 }
 
+bool IsLeaving(const KnownTarget& aTarget) noexcept
+{
+  return aTarget.mHealth->mLeaving || aTarget.mHealth->mSaidLeaving;
+}
+
 /// @returns others of a target's failure domain, those heard last first, which
 ///          none of its requests may have crashed
 std::vector<KnownTarget> SiblingsOf(Node& aNode, const KnownTarget& aTarget)
@@ -74,18 +79,24 @@
   return out;
 }
 
-asio::awaitable<bool> HasDomainFailed(Node& aNode, const KnownTarget& aTarget,
-                                      TimePoint aSince)
+asio::awaitable<DomainState> FindDomainState(Node& aNode,
+                                             const KnownTarget& aTarget,
+                                             TimePoint aSince)
 {
   const auto siblings = SiblingsOf(aNode, aTarget);
-  if (siblings.empty() || siblings.front().mHealth->mRuns.mHeard > aSince) {
-    co_return false;
+  if (siblings.empty()) {
+    co_return DomainState::Unknown;
+  }
+  if (siblings.front().mHealth->mRuns.mHeard > aSince) {
+    co_return DomainState::Serves;
   }
   std::vector<Endpoint> peers;
   for (const auto& it : siblings) {
     peers.push_back(EndpointOf(it));
   }
-  co_return !co_await AnyListens(aNode.mTargetClient, std::move(peers));
+  const bool serves =
+    co_await AnyListens(aNode.mTargetClient, std::move(peers));
+  co_return serves ? DomainState::Serves : DomainState::Failed;
 }
 
 /// Targets have no lives here that entries could tell apart: each run that
@@ -98,10 +109,10 @@
 }
 
 void CountCrashes(Node& aNode, const TargetName& aName,
-                  std::vector<Crash> aCrashes, EndSign aSign, TimePoint aNow)
+                  const std::vector<Crash>& aCrashes, EndSign aSign,
+                  TimePoint aNow)
 {
-  for (auto& it : aCrashes) {
-    it.mLife = LifeOf(aName, it);
+  for (const auto& it : aCrashes) {
     if (!NoteCrash(aNode.mCrashTable, it, aNow)) {
       continue;
     }
@@ -126,11 +137,10 @@
                                  TimePoint aSince)
 {
   const auto asked = Find(aNode, aName);
-  if (!asked || asked->mHealth->mSaidLeaving ||
-      !HasSuspects(asked->mHealth->mRuns)) {
+  if (!asked || IsLeaving(*asked) || !HasSuspects(asked->mHealth->mRuns)) {
     co_return;
   }
-  const bool failed = co_await HasDomainFailed(aNode, *asked, aSince);
+  const auto domain = co_await FindDomainState(aNode, *asked, aSince);
   const auto target = Find(aNode, aName);
   if (!target ||
       (aSign == EndSign::Silent && target->mHealth->mRuns.mHeard > aSince)) {
@@ -138,7 +148,7 @@
   }
   const auto now = Clock::now();
   auto crashes = TakeCrashes(target->mHealth->mRuns, 0, aSign, aSince, now);
-  if (failed) {
+  if (domain == DomainState::Failed) {
     LogBounded(LogClass::Failure, LogLevel::Warning, "failure_domain_silent",
                { { "service", aName.mService },
                  { "target", aName.mTarget },
@@ -146,7 +156,13 @@
                  { "sign", NameOf(aSign) } });
     co_return;
   }
-  CountCrashes(aNode, aName, std::move(crashes), aSign, now);
+  for (auto& it : crashes) {
+    it.mLife = LifeOf(aName, it);
+  }
+  if (domain == DomainState::Unknown) {
+    MakeUncertain(crashes);
+  }
+  CountCrashes(aNode, aName, crashes, aSign, now);
 }
 
 /// Asks a target that gave no answer whether it still listens.
@@ -209,7 +225,7 @@
                    const BrokenRun& aRun)
 {
   const auto target = Find(aNode, aTarget);
-  if (!target || target->mHealth->mSaidLeaving) {
+  if (!target || IsLeaving(*target)) {
     // It may end with runs still under way.
     return;
   }
--- a/tests/unit/forwarding_crashes_test.cpp
+++ b/tests/unit/forwarding_crashes_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <criterion/criterion.h>
 
@@ -71,6 +72,9 @@
   {
     const auto now = Clock::now();
     NoteBrokenRun(mNode, { "s", aTarget }, { kDigest, now - 50ms, now, aEnd });
+    mContext.restart();
+    asio::steady_timer later(mContext, 1s);
+    later.async_wait([](const boost::system::error_code&) {});
     mContext.run_for(1s);
   }
 
@@ -146,3 +150,32 @@
   bed.Break("t2");
   cr_assert_not(bed.Refuses());
 }
+
+Test(forwarding_crashes, targets_that_leave_may_end_with_runs_under_way)
+{
+  Bed bed;
+  auto& state = bed.mNode.mServices["s"];
+  for (std::size_t n = 0; n < 2; ++n) {
+    bed.mServers[n]->StopListening();
+    state.mHealth[n].mLeaving = true;
+  }
+  bed.Break("t1");
+  bed.Break("t2");
+  cr_assert_not(bed.Refuses());
+}
+
+// Guards against a request that ran at all targets of a domain that failed, and
+// is refused without a chance to show that it crashes none.
+Test(forwarding_crashes, a_crash_that_nothing_else_explains_is_uncertain)
+{
+  Bed bed;
+  auto& state = bed.mNode.mServices["s"];
+  for (std::size_t n = 0; n < state.mService.mTargets.size(); ++n) {
+    state.mService.mTargets[n].mFailureDomain = "d" + std::to_string(n);
+    bed.mServers[n]->StopListening();
+  }
+  bed.Break("t1");
+  bed.Break("t2");
+  cr_assert(bed.Refuses());
+  cr_assert(TakeTrial(bed.mNode.mCrashTable, kDigest, Clock::now() + 10s));
+}
