--- a/tests/unit/crash_fleet.cpp
+++ b/tests/unit/crash_fleet.cpp
@@ -105,7 +105,7 @@
   std::map<unsigned, std::size_t> out;
   const auto count = [](Fleet& aFleet, std::size_t aAt, std::string aPath,
                         auto& aOut) -> asio::awaitable<void> {
-    const auto status = co_await aFleet.Send(aAt, std::move(aPath));
+    const auto status = co_await aFleet.Send(aAt, aPath);
     ++aOut[status];
   };
   for (std::size_t n = 0; n < aPaths.size(); ++n) {
