--- a/testing/standin/held_port.cpp
+++ b/testing/standin/held_port.cpp
@@ -16,7 +16,8 @@
   mAcceptor.bind(endpoint);
   if (aManner == PortManner::Silent) {
     mAcceptor.listen(0);
-    mFiller.connect(endpoint);
+    // Another connection may fill the backlog first; this one then waits.
+    mFiller.async_connect(endpoint, [](const boost::system::error_code&) {});
   }
 }
 
