guavalined: runs that outlive the node at its end leave it alone

Found by reading: at the end of the process the node goes before the event loop, whose suspended exchanges then looked up their targets in it.

--- a/src/forwarding/crashes.cpp
+++ b/src/forwarding/crashes.cpp
@@ -207,6 +207,7 @@
 RunCount::RunCount(Node& aNode, TargetName aTarget, std::uint64_t aDigest,
                    TimePoint aNow)
   : mNode(aNode)
+  , mContext(aNode.mContext)
   , mTarget(std::move(aTarget))
 {
   if (const auto target = Find(mNode, mTarget)) {
@@ -216,6 +217,10 @@
 
 RunCount::~RunCount()
 {
+  // A run that is still suspended when the process ends outlives the node.
+  if (mContext.stopped()) {
+    return;
+  }
   if (const auto target = Find(mNode, mTarget)) {
     EndRun(target->mHealth->mRuns, mRun);
   }
--- a/src/forwarding/crashes.hpp
+++ b/src/forwarding/crashes.hpp
@@ -28,6 +28,7 @@
 
 private:
   Node& mNode;
+  boost::asio::io_context& mContext; ///< Outlives the node.
   TargetName mTarget;
   std::uint64_t mRun = 0;
 };
