--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kMaxNews = 64;
 
-/// Counts the runs of a target whose life has ended as crashes under them.
+/// Counts the crashes that the end of a target's life shows.
 void CountCrashes(Entry& aEntry, LiveTarget& aTarget,
                   const std::vector<Crash>& aCrashes, EndSign aSign,
                   TimePoint aNow)
@@ -77,7 +77,8 @@
   return out;
 }
 
-/// @param aSince  when the target was last known to serve
+/// Finds out whether others of a target's failure domain serve.
+/// @param aSince  when the target began to be asked
 asio::awaitable<DomainState> FindDomainState(Entry& aEntry, TargetPtr aTarget,
                                              TimePoint aSince)
 {
@@ -98,7 +99,7 @@
 }
 
 /// Judges a target that takes no connections.
-/// @param aSince  when it was found out, or began to be
+/// @param aSince  when it began to be asked
 asio::awaitable<void> JudgeEnded(Entry& aEntry, TargetPtr aTarget,
                                  EndSign aSign, TimePoint aSince)
 {
--- a/src/forwarding/crashes.cpp
+++ b/src/forwarding/crashes.cpp
@@ -79,6 +79,8 @@
   return out;
 }
 
+/// Finds out whether others of a target's failure domain serve.
+/// @param aSince  when the target began to be asked
 asio::awaitable<DomainState> FindDomainState(Node& aNode,
                                              const KnownTarget& aTarget,
                                              TimePoint aSince)
