Tell over which connection a target refused, and what it had carried

Of a refusal the logs had only the reason of the request's end, so that the copy of a refusal could not be told from a refusal.

--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -205,6 +205,8 @@
                { "peer", aResult.mError.mPeer },
                { "error", aResult.mError.mReason },
                { "reused", aResult.mReused ? "yes" : "no" },
+               { "connection", std::to_string(aResult.mConnection) },
+               { "exchange", std::to_string(aResult.mExchange) },
                { "answer_began", aResult.mAnswerBegan ? "yes" : "no" },
                { "may_have_run", aResult.mMayHaveReached ? "yes" : "no" } });
 }
@@ -219,6 +221,37 @@
            .empty();
 }
 
+/// Tells what shows whether a refusal answers this request or is the copy of
+/// an earlier one.
+void LogRefusal(const RequestState& aState, const ExchangeResult& aResult,
+                Millis aTook)
+{
+  LogBounded(LogClass::Failure, LogLevel::Info, "target_refused",
+             { { "request", aState.mId },
+               { "target", aState.mChoice.mTarget->mRegistration.mId },
+               { "status", std::to_string(aResult.mResponse->mStatus) },
+               { "connection", std::to_string(aResult.mConnection) },
+               { "exchange", std::to_string(aResult.mExchange) },
+               { "sent_before", aResult.mSentBefore ? "yes" : "no" },
+               { "took_ms", MillisText(aTook) } });
+}
+
+/// Notes answers to earlier requests that came in this one's place.
+void NoteLateAnswers(Entry& aEntry, const RequestState& aState,
+                     const ExchangeResult& aResult)
+{
+  if (aResult.mStray.empty()) {
+    return;
+  }
+  aEntry.mMetrics.Count("late_answers", "service=\"" + aState.mService + "\"");
+  LogBounded(LogClass::Failure, LogLevel::Info, "late_answers",
+             { { "request", aState.mId },
+               { "target", aState.mChoice.mTarget->mRegistration.mId },
+               { "connection", std::to_string(aResult.mConnection) },
+               { "exchange", std::to_string(aResult.mExchange) },
+               { "count", std::to_string(aResult.mStray.size()) } });
+}
+
 SendOutcome JudgeAnswer(const Entry& aEntry, RequestState& aState,
                         LiveTarget& aTarget, HttpResponse aAnswer,
                         TimePoint aNow)
@@ -279,6 +312,7 @@
     NoteConnect(aEntry.mTrips, target->mRegistration.mFailureDomain,
                 *result.mConnectTime);
   }
+  NoteLateAnswers(aEntry, aState, result);
   for (const auto& it : result.mStray) {
     LearnLateWords(aEntry, *target, it, aState.mId, now);
   }
@@ -316,6 +350,9 @@
   if (result.mConnectTime) {
     took -= std::chrono::duration_cast<Millis>(*result.mConnectTime);
   }
+  if (SaysNotRun(aEntry, *result.mResponse)) {
+    LogRefusal(aState, result, took);
+  }
   if (result.mResponse->mStatus != aEntry.mPlatform.mWrongTargetStatus) {
     LearnWords(aEntry, *target, *result.mResponse, aState.mId, now);
     LearnLimit(aEntry, *target, *result.mResponse, started, now);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/message_head.hpp"
 #include "http/message_parser.hpp"
+#include "http/sent_ids.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -67,6 +68,9 @@
   beast::flat_buffer mBuffer{ kMaxUnparsed };
   TimePoint mProven{};
   Millis mIdleLimit{ kKeptUnbounded }; ///< The peer closes it after that.
+  std::uint64_t mNumber = 0;
+  std::size_t mExchanges = 0; ///< Requests that it has carried.
+  SentIds mSentIds;
 };
 
 using Connection = boost::intrusive_ptr<PooledConnection>;
@@ -142,6 +146,7 @@
   }
 
   std::map<std::string, ConnectionList> mIdle;
+  std::uint64_t mLastNumber = 0;              ///< Of a connection.
   BufferedBytes mBuffered{ 0, kMaxBuffered }; ///< Answers being read.
 };
 
@@ -223,7 +228,7 @@
 }
 
 asio::awaitable<Connection> Connect(asio::any_io_executor aExecutor,
-                                    Endpoint aEndpoint,
+                                    HttpPoolState& aPool, Endpoint aEndpoint,
                                     const ExchangeOptions& aOptions,
                                     ExchangeResult& aResult)
 {
@@ -247,6 +252,7 @@
   }
   aResult.mConnectTime = std::chrono::duration_cast<std::chrono::microseconds>(
     Clock::now() - started);
+  out->mNumber = ++aPool.mLastNumber;
   out->mStream.socket().set_option(tcp::no_delay(true), ec);
   WatchPeer(out->mStream.socket(), aOptions.mUnacknowledged);
   co_return out;
@@ -325,6 +331,18 @@
                      });
 }
 
+/// Notes that a connection carries a request.
+void NoteRequest(PooledConnection& aConnection, const ExchangeOptions& aOptions,
+                 ExchangeResult& aResult)
+{
+  aResult.mConnection = aConnection.mNumber;
+  aResult.mExchange = aConnection.mExchanges++;
+  if (!aOptions.mAnswerIdName.empty()) {
+    aResult.mSentBefore = WasSent(aConnection.mSentIds, aOptions.mAnswerId);
+    NoteSent(aConnection.mSentIds, aOptions.mAnswerId);
+  }
+}
+
 /// Reads answers until one belongs to the request.
 asio::awaitable<beast::error_code> Receive(
   Connection aConnection, HttpPoolState& aPool, bool aHead,
@@ -369,11 +387,13 @@
   auto connection = pool->Take(aEndpoint, Clock::now(), aOptions.mReuseWithin);
   result.mReused = connection != nullptr;
   if (!connection) {
-    connection = co_await Connect(mExecutor, aEndpoint, aOptions, result);
+    connection =
+      co_await Connect(mExecutor, *pool, aEndpoint, aOptions, result);
     if (!connection) {
       co_return result;
     }
   }
+  NoteRequest(*connection, aOptions, result);
   CloseGuard guard(connection);
   const bool head = aRequest.mMethod == "HEAD";
   const bool small = aRequest.mBody.size() <= kSmallBody;
@@ -409,7 +429,8 @@
     co_return result;
   }
   const bool whole = sending->mDone && !sending->mError;
-  const bool keep = whole && !parser->need_eof() && parser->keep_alive();
+  const bool keep = whole && !parser->need_eof() && parser->keep_alive() &&
+                    !IsFull(connection->mSentIds);
   result.mResponse = TakeResponse(*parser);
   if (keep && connection->mBuffer.size() == 0) {
     stream.expires_never();
@@ -426,7 +447,8 @@
 {
   ExchangeResult out;
   const auto pool = mPool;
-  auto connection = co_await Connect(mExecutor, aEndpoint, aOptions, out);
+  auto connection =
+    co_await Connect(mExecutor, *pool, aEndpoint, aOptions, out);
   if (connection) {
     connection->mStream.expires_never();
     connection->mProven = Clock::now();
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -50,6 +50,11 @@
   Error mError;                          ///< Set where there is none.
   /// Heads of late answers to earlier requests that came before it.
   std::vector<Headers> mStray;
+  std::uint64_t mConnection = 0; ///< Its number; 0 where none was opened.
+  std::size_t mExchange = 0;     ///< Requests that it had carried before.
+  /// The connection had carried the same id before, so that the answer may be
+  /// the copy of an earlier one.
+  bool mSentBefore = false;
   /// False only where no byte of the request can have reached the peer.
   bool mMayHaveReached = false;
   bool mTimedOut = false;
