Send no id twice over one connection

Callers were told "not run" (503) of requests that ran: a target refused a request, its caller came again with the same id, the entry took the connection that had refused it, and the target's copy of that refusal was read as the answer while the run went on. The caller, which may, came again, and it ran twice.

Cause: an answer is matched by the request's id, and two sends of one id over one connection share it. Copied 200, 500, 504 and 421 answers are the same fault and end with it.

A connection remembers the ids that it has carried (4 bytes each, at most 512, then it is not kept), and the pool passes it over for a request whose id is among them. So an answer that bears the id can only be the one to this send, whatever path brought the id back: the entry's retry, the caller's next attempt, several at once, or another caller with the same id. The memory ends with the connection, as no copy outlives it; no time has to be guessed.

forward::a_refusal_that_names_no_request_... sent one id three times over one connection, which no longer happens: it uses three ids now, a refusal that names its request first so that the connection is kept, and checks the number of connections besides.

--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -232,7 +232,7 @@
                { "status", std::to_string(aResult.mResponse->mStatus) },
                { "connection", std::to_string(aResult.mConnection) },
                { "exchange", std::to_string(aResult.mExchange) },
-               { "sent_before", aResult.mSentBefore ? "yes" : "no" },
+               { "passed_over", std::to_string(aResult.mPassedOver) },
                { "took_ms", MillisText(aTook) } });
 }
 
@@ -313,6 +313,9 @@
                 *result.mConnectTime);
   }
   NoteLateAnswers(aEntry, aState, result);
+  if (result.mPassedOver > 0) {
+    aEntry.mMetrics.Count("passed_over", "service=\"" + aState.mService + "\"");
+  }
   for (const auto& it : result.mStray) {
     LearnLateWords(aEntry, *target, it, aState.mId, now);
   }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -106,15 +106,25 @@
 
   static std::string Key(const Endpoint& aEndpoint) { return aEndpoint.Text(); }
 
-  /// Takes the connection proven live last, if lately enough.
-  Connection Take(const Endpoint& aEndpoint, TimePoint aNow, Millis aWithin)
+  /// Takes the connection proven live last, if lately enough. One that has
+  /// carried the request's id is left to others, as the answer to that may come
+  /// again.
+  /// @param aPassedOver  counts those left so
+  Connection Take(const Endpoint& aEndpoint, const ExchangeOptions& aOptions,
+                  std::size_t& aPassedOver, TimePoint aNow)
   {
     auto& list = mIdle[Key(aEndpoint)];
-    while (!list.empty()) {
-      Connection out(&list.front(), false);
-      list.pop_front();
+    for (auto it = list.begin(); it != list.end();) {
+      if (!aOptions.mAnswerIdName.empty() &&
+          WasSent(it->mSentIds, aOptions.mAnswerId)) {
+        ++aPassedOver;
+        ++it;
+        continue;
+      }
+      Connection out(&*it, false);
+      it = list.erase(it);
       const auto idle = aNow - out->mProven;
-      if (idle <= aWithin && idle < out->mIdleLimit &&
+      if (idle <= aOptions.mReuseWithin && idle < out->mIdleLimit &&
           StillQuiet(out->mStream.socket())) {
         return out;
       }
@@ -338,7 +348,6 @@
   aResult.mConnection = aConnection.mNumber;
   aResult.mExchange = aConnection.mExchanges++;
   if (!aOptions.mAnswerIdName.empty()) {
-    aResult.mSentBefore = WasSent(aConnection.mSentIds, aOptions.mAnswerId);
     NoteSent(aConnection.mSentIds, aOptions.mAnswerId);
   }
 }
@@ -384,7 +393,8 @@
 {
   ExchangeResult result;
   const auto pool = mPool;
-  auto connection = pool->Take(aEndpoint, Clock::now(), aOptions.mReuseWithin);
+  auto connection =
+    pool->Take(aEndpoint, aOptions, result.mPassedOver, Clock::now());
   result.mReused = connection != nullptr;
   if (!connection) {
     connection =
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -36,7 +36,8 @@
   /// system's. Finds hosts without power and connections gone silent.
   Millis mUnacknowledged{ 0 };
   /// Header whose value an answer shares with its request; answers to
-  /// earlier requests are skipped by it. Empty where there is none.
+  /// earlier requests are skipped by it, and no connection carries a value
+  /// twice. Empty where there is none.
   std::string mAnswerIdName;
   std::string mAnswerId;
   /// Accept a body that ends with its connection, if that ends in order.
@@ -52,9 +53,8 @@
   std::vector<Headers> mStray;
   std::uint64_t mConnection = 0; ///< Its number; 0 where none was opened.
   std::size_t mExchange = 0;     ///< Requests that it had carried before.
-  /// The connection had carried the same id before, so that the answer may be
-  /// the copy of an earlier one.
-  bool mSentBefore = false;
+  /// Kept connections that were not used since they had carried the same id.
+  std::size_t mPassedOver = 0;
   /// False only where no byte of the request can have reached the peer.
   bool mMayHaveReached = false;
   bool mTimedOut = false;
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -36,6 +36,7 @@
   asio::io_context mContext{ 1 };
   Entry mEntry{ mContext, tests::EntrySettingsOf("e1"), tests::PlainAdapter() };
   std::vector<std::unique_ptr<ScriptedServer>> mTargets;
+  std::string mId = "q1"; ///< Of the requests that are sent.
 
   explicit Bed(RequestKind aKind) { tests::ServeOneRoute(mEntry, aKind); }
 
@@ -60,7 +61,7 @@
     HttpRequest request;
     request.mTarget = aPath;
     request.mHeaders = { { "Host", "a.example" },
-                         { "Id", "q1" },
+                         { "Id", mId },
                          { "Time-Left", aTimeLeft },
                          { "Connection", "close" },
                          { "Other", "kept" } };
@@ -425,18 +426,23 @@
 // writes an earlier refusal once more on a kept connection.
 Test(forward, a_refusal_that_names_no_request_is_believed_on_a_new_connection)
 {
-  const auto refuse = [](int, const std::string&) -> ScriptedAnswer {
-    return { Answer(503, "Not-Run: 1\r\n") };
+  const auto refuse = [](int n, const std::string&) -> ScriptedAnswer {
+    return { Answer(503,
+                    n == 0 ? "Not-Run: 1\r\nId: q1\r\n" : "Not-Run: 1\r\n") };
   };
   Bed bed(RequestKind::NonIdempotent);
   bed.Add(refuse);
   cr_assert_eq(bed.Send().mStatus, 503U);
   // The second one comes on the connection that the first one left.
+  bed.mId = "q2";
   const auto out = bed.Send();
   cr_assert_eq(out.mStatus, 502U);
   cr_assert_eq(bed.Runs(), 2);
+  cr_assert_eq(bed.mTargets[0]->Connections(), 1);
   // That connection is not used again.
+  bed.mId = "q3";
   cr_assert_eq(bed.Send().mStatus, 503U);
+  cr_assert_eq(bed.mTargets[0]->Connections(), 2);
 }
 
 Test(forward, a_refusal_that_names_its_request_is_believed_on_any_connection)
