Take no answer without an id from a kept connection

A faulty target's surplus answer without an id, on a connection that is in use again, was passed on as the answer to the next request; only refusals were doubted. Found by reading for the same class as the copied refusals: a belief taken from an answer that nothing ties to its request.

The client says whether an answer names its request. On a kept connection one that does not is answer_unidentified: a request that may run again goes to another target, others end with 502. A connection whose answers bear no id is not kept, so that the first answer on each connection, which can only be its request's, is still believed. Targets on the platform repeat the id, so nothing changes for sound ones.

forward::an_answer_that_names_no_request_... got 200 before, 502 now. Two tests of the client used answers without ids on kept connections, which the client no longer keeps; their answers bear ids now, as targets' do.

--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -211,16 +211,6 @@
                { "may_have_run", aResult.mMayHaveReached ? "yes" : "no" } });
 }
 
-/// True for a refusal that may be an earlier one, which a faulty target wrote
-/// once more on a kept connection: nothing in it names the request.
-bool IsUnidentifiedRefusal(const Entry& aEntry, const ExchangeResult& aResult)
-{
-  const auto& answer = *aResult.mResponse;
-  return aResult.mReused && SaysNotRun(aEntry, answer) &&
-         FindHeader(answer.mHeaders, aEntry.mPlatform.mHeaders.mRequestId)
-           .empty();
-}
-
 /// Tells what shows whether a refusal answers this request or is the copy of
 /// an earlier one.
 void LogRefusal(const RequestState& aState, const ExchangeResult& aResult,
@@ -341,12 +331,11 @@
     aState.mRuns += out.mNotRun ? 0 : 1;
     co_return out;
   }
-  if (IsUnidentifiedRefusal(aEntry, result)) {
-    // The answer to this request may still come on that connection.
-    aEntry.mTargetClient.Forget(endpoint);
+  if (IsUnidentified(result)) {
     ++aState.mRuns;
     out.mWorthRetry = true;
-    out.mWhat = "refusal_unidentified";
+    out.mWhat = SaysNotRun(aEntry, *result.mResponse) ? "refusal_unidentified"
+                                                      : "answer_unidentified";
     co_return out;
   }
   auto took = std::chrono::duration_cast<Millis>(now - started);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -182,6 +182,11 @@
   return out;
 }
 
+bool IsUnidentified(const ExchangeResult& aResult) noexcept
+{
+  return aResult.mResponse && aResult.mReused && !aResult.mNamesRequest;
+}
+
 HttpClient::HttpClient(asio::any_io_executor aExecutor)
   : mExecutor(std::move(aExecutor))
   , mPool(new HttpPoolState)
@@ -325,20 +330,31 @@
 
 using ResponseParser = MessageParser<false>;
 
-/// True where an answer belongs to an earlier request or is interim.
-bool IsStray(const ResponseParser& aParser, const ExchangeOptions& aOptions)
+/// What the ids in an answer say of it.
+enum class AnswerTo {
+  Request = 1, ///< It bears the request's id, and no other.
+  Another,     ///< It belongs to an earlier request, or is interim.
+  Unnamed,     ///< It bears no id.
+};
+
+AnswerTo JudgeIds(const ResponseParser& aParser,
+                  const ExchangeOptions& aOptions)
 {
   if (aParser.mStatus < 200) {
-    return true;
+    return AnswerTo::Another;
   }
-  if (aOptions.mAnswerIdName.empty()) {
-    return false;
+  auto out = AnswerTo::Unnamed;
+  for (const auto& it : aParser.mHeaders) {
+    if (aOptions.mAnswerIdName.empty() ||
+        !SameName(it.mName, aOptions.mAnswerIdName)) {
+      continue;
+    }
+    if (it.mValue != aOptions.mAnswerId) {
+      return AnswerTo::Another;
+    }
+    out = AnswerTo::Request;
   }
-  return std::any_of(aParser.mHeaders.begin(), aParser.mHeaders.end(),
-                     [&](const Header& a) {
-                       return SameName(a.mName, aOptions.mAnswerIdName) &&
-                              a.mValue != aOptions.mAnswerId;
-                     });
+  return out;
 }
 
 /// Notes that a connection carries a request.
@@ -356,7 +372,7 @@
 asio::awaitable<beast::error_code> Receive(
   Connection aConnection, HttpPoolState& aPool, bool aHead,
   const ExchangeOptions& aOptions, std::optional<ResponseParser>& aParser,
-  std::vector<Headers>& aStray)
+  ExchangeResult& aResult)
 {
   for (int n = 0; n <= kMaxStray; ++n) {
     aParser.emplace();
@@ -371,10 +387,15 @@
       // Nothing would tell a whole body from one that was cut short.
       ec = http::error::partial_message;
     }
-    if (ec || !IsStray(*aParser, aOptions)) {
+    if (ec) {
+      co_return ec;
+    }
+    const auto answerTo = JudgeIds(*aParser, aOptions);
+    if (answerTo != AnswerTo::Another) {
+      aResult.mNamesRequest = answerTo == AnswerTo::Request;
       co_return ec;
     }
-    aStray.push_back(std::move(aParser->mHeaders));
+    aResult.mStray.push_back(std::move(aParser->mHeaders));
   }
   co_return http::error::unexpected_body;
 }
@@ -428,7 +449,7 @@
   }
   std::optional<ResponseParser> parser;
   const auto ec =
-    co_await Receive(connection, *pool, head, aOptions, parser, result.mStray);
+    co_await Receive(connection, *pool, head, aOptions, parser, result);
   if (ec) {
     const bool unsent = sending->mDone && sending->mError;
     result.mTimedOut = ec == beast::error::timeout;
@@ -439,8 +460,9 @@
     co_return result;
   }
   const bool whole = sending->mDone && !sending->mError;
-  const bool keep = whole && !parser->need_eof() && parser->keep_alive() &&
-                    !IsFull(connection->mSentIds);
+  const bool named = aOptions.mAnswerIdName.empty() || result.mNamesRequest;
+  const bool keep = whole && named && !parser->need_eof() &&
+                    parser->keep_alive() && !IsFull(connection->mSentIds);
   result.mResponse = TakeResponse(*parser);
   if (keep && connection->mBuffer.size() == 0) {
     stream.expires_never();
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -62,13 +62,20 @@
   bool mConnectFailed = false;
   bool mCancelled = false; ///< By this side, such as when a caller left.
   bool mReused = false;    ///< A kept connection was used.
+  /// The answer bears the request's id. Without that, on a kept connection, it
+  /// may be the answer to an earlier request.
+  bool mNamesRequest = false;
   /// Time to open the connection; nothing where it was kept.
   std::optional<std::chrono::microseconds> mConnectTime;
 };
 
 class HttpPoolState;
 
-/// Sends requests; keeps connections that ended a whole exchange.
+/// @returns true for an answer that nothing ties to its request
+[[nodiscard]] bool IsUnidentified(const ExchangeResult& aResult) noexcept;
+
+/// Sends requests; keeps connections that ended a whole exchange, and only
+/// those whose answers bear ids where requests have any.
 class HttpClient
 {
 public:
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -35,6 +35,8 @@
     { "timeout", "no answer before the deadline" },
     { "refusal_unidentified",
       "a refusal on a kept connection named no request; it may have run" },
+    { "answer_unidentified",
+      "an answer on a kept connection named no request; it may have run" },
     { "answer_unproven", "an answer did not come from a target's program" },
   };
   return kMeanings;
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -68,10 +68,24 @@
 Test(client, a_connection_is_kept_after_a_whole_answer)
 {
   const auto out = Ask(
-    [](int, const std::string&) -> ScriptedAnswer { return { Whole("ok") }; },
+    [](int n, const std::string&) -> ScriptedAnswer {
+      return { Whole("ok", "X-Id: r" + std::to_string(n) + "\r\n") };
+    },
     3);
   cr_assert_eq(out.mConnections, 1);
   cr_assert(out.mResults[2].mReused);
+  cr_assert(out.mResults[2].mNamesRequest);
+  cr_assert_eq(out.mResults[2].mResponse->mBody, "ok");
+}
+
+Test(client, a_connection_whose_answer_names_no_request_is_not_kept)
+{
+  const auto out = Ask(
+    [](int, const std::string&) -> ScriptedAnswer { return { Whole("ok") }; },
+    3);
+  cr_assert_eq(out.mConnections, 3);
+  cr_assert_not(out.mResults[2].mNamesRequest);
+  cr_assert_not(IsUnidentified(out.mResults[2]));
   cr_assert_eq(out.mResults[2].mResponse->mBody, "ok");
 }
 
@@ -160,8 +174,9 @@
 Test(client, a_connection_is_left_before_its_peer_closes_it)
 {
   const auto out = Ask(
-    [](int, const std::string&) -> ScriptedAnswer {
-      return { Whole("ok", "Keep-Alive: timeout=1\r\n") };
+    [](int n, const std::string&) -> ScriptedAnswer {
+      return { Whole("ok", "Keep-Alive: timeout=1\r\nX-Id: r" +
+                             std::to_string(n) + "\r\n") };
     },
     2);
   cr_assert_eq(out.mConnections, 2);
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -445,6 +445,25 @@
   cr_assert_eq(bed.mTargets[0]->Connections(), 2);
 }
 
+// Guards against another request's answer in the place of the own one: on a
+// kept connection nothing ties an answer without an id to its request.
+Test(forward, an_answer_that_names_no_request_is_not_taken_on_a_kept_connection)
+{
+  const auto serve = [](int n, const std::string&) -> ScriptedAnswer {
+    return { Answer(200, n == 0 ? "Proof: p\r\nId: q1\r\n" : "Proof: p\r\n") };
+  };
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add(serve);
+  cr_assert_eq(bed.Send().mStatus, 200U);
+  bed.mId = "q2";
+  cr_assert_eq(bed.Send().mStatus, 502U);
+  cr_assert_eq(bed.mTargets[0]->Connections(), 1);
+  // The first answer on a new connection can only be its request's.
+  bed.mId = "q3";
+  cr_assert_eq(bed.Send().mStatus, 200U);
+  cr_assert_eq(bed.mTargets[0]->Connections(), 2);
+}
+
 Test(forward, a_refusal_that_names_its_request_is_believed_on_any_connection)
 {
   Bed bed(RequestKind::NonIdempotent);
