Count a late answer as heard when it came

Late answers, which precede the own one, were counted as signs of life at the end of their exchange. A target that sent one and then ended was taken for alive at the moment of the time-out, so that its end under a request was not counted.

--- a/include/guavaline/crashes/run_watch.hpp
+++ b/include/guavaline/crashes/run_watch.hpp
@@ -76,6 +76,9 @@
 /// Notes a run whose caller left. It says nothing of the target by itself.
 void NoteAbandoned(RunWatch& aWatch, const BrokenRun& aRun);
 
+/// Notes that an answer came.
+void NoteHeard(RunWatch& aWatch, TimePoint aArrived) noexcept;
+
 /// Drops runs that ended too long ago to have crashed the target.
 void ForgetBroken(RunWatch& aWatch, TimePoint aNow);
 
--- a/src/crashes/run_watch.cpp
+++ b/src/crashes/run_watch.cpp
@@ -64,6 +64,11 @@
   AddLate(aWatch.mAbandoned, aRun);
 }
 
+void NoteHeard(RunWatch& aWatch, TimePoint aArrived) noexcept
+{
+  aWatch.mHeard = std::max(aWatch.mHeard, aArrived);
+}
+
 void ForgetBroken(RunWatch& aWatch, TimePoint aNow)
 {
   const auto isOld = [aNow](const BrokenRun& a) {
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -230,7 +230,7 @@
 void NoteLateAnswers(Entry& aEntry, const RequestState& aState,
                      const ExchangeResult& aResult)
 {
-  if (aResult.mStray.empty()) {
+  if (aResult.mLate.empty()) {
     return;
   }
   aEntry.mMetrics.Count("late_answers", "service=\"" + aState.mService + "\"");
@@ -239,7 +239,7 @@
                { "target", aState.mChoice.mTarget->mRegistration.mId },
                { "connection", std::to_string(aResult.mConnection) },
                { "exchange", std::to_string(aResult.mExchange) },
-               { "count", std::to_string(aResult.mStray.size()) } });
+               { "count", std::to_string(aResult.mLate.size()) } });
 }
 
 SendOutcome JudgeAnswer(const Entry& aEntry, RequestState& aState,
@@ -306,11 +306,12 @@
   if (result.mPassedOver > 0) {
     aEntry.mMetrics.Count("passed_over", "service=\"" + aState.mService + "\"");
   }
-  for (const auto& it : result.mStray) {
-    LearnLateWords(aEntry, *target, it, aState.mId, now);
+  for (const auto& it : result.mLate) {
+    LearnLateWords(aEntry, *target, it.mHeaders, aState.mId, now);
+    NoteHeard(target->mRuns, it.mArrived);
   }
-  if (result.mResponse || !result.mStray.empty()) {
-    target->mRuns.mHeard = now;
+  if (result.mResponse) {
+    NoteHeard(target->mRuns, now);
   }
   SendOutcome out;
   if (result.mCancelled) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -50,7 +50,7 @@
 /// Bodies of all answers that are being read, where no other bound is set.
 constexpr std::uint64_t kMaxBuffered = 256ULL << 20U;
 /// Interim answers, and late ones to earlier requests, before the own answer.
-constexpr int kMaxStray = 16;
+constexpr int kMaxLate = 16;
 
 /// A kept connection.
 class PooledConnection
@@ -374,7 +374,7 @@
   const ExchangeOptions& aOptions, std::optional<ResponseParser>& aParser,
   ExchangeResult& aResult)
 {
-  for (int n = 0; n <= kMaxStray; ++n) {
+  for (int n = 0; n <= kMaxLate; ++n) {
     aParser.emplace();
     aParser->header_limit(kMaxHeaderBytes);
     aParser->body_limit(aOptions.mMaxBodyBytes);
@@ -395,7 +395,7 @@
       aResult.mNamesRequest = answerTo == AnswerTo::Request;
       co_return ec;
     }
-    aResult.mStray.push_back(std::move(aParser->mHeaders));
+    aResult.mLate.push_back({ std::move(aParser->mHeaders), Clock::now() });
   }
   co_return http::error::unexpected_body;
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -44,13 +44,20 @@
   bool mUnframedBody = false;
 };
 
+/// An answer that came in the place of the own one.
+struct LateAnswer
+{
+  Headers mHeaders;
+  TimePoint mArrived;
+};
+
 /// What became of one exchange.
 struct ExchangeResult
 {
   std::optional<HttpResponse> mResponse; ///< A whole response.
   Error mError;                          ///< Set where there is none.
-  /// Heads of late answers to earlier requests that came before it.
-  std::vector<Headers> mStray;
+  /// Interim answers, and those to earlier requests, that came before it.
+  std::vector<LateAnswer> mLate;
   std::uint64_t mConnection = 0; ///< Its number; 0 where none was opened.
   std::size_t mExchange = 0;     ///< Requests that it had carried before.
   /// Kept connections that were not used since they had carried the same id.
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -464,6 +464,21 @@
   cr_assert_eq(bed.mTargets[0]->Connections(), 2);
 }
 
+// Guards against a target that is thought to live since a late answer of it was
+// read at the end of a request that it never answered.
+Test(forward, a_late_answer_tells_of_its_target_when_it_came)
+{
+  Bed bed(RequestKind::NonIdempotent);
+  bed.Add([](int, const std::string&) -> ScriptedAnswer {
+    return { Answer(200, "Proof: p\r\nId: q0\r\n") };
+  });
+  const auto sent = Clock::now();
+  cr_assert_eq(bed.Send("400").mStatus, 504U);
+  const auto heard = bed.mEntry.mRegistry.mTargets.at("t1")->mRuns.mHeard;
+  cr_assert_gt(heard, sent);
+  cr_assert_lt(heard, sent + 400ms);
+}
+
 Test(forward, a_refusal_that_names_its_request_is_believed_on_any_connection)
 {
   Bed bed(RequestKind::NonIdempotent);
