guavalined: name each exchange with a target

guavalined gave its targets no name of a request that an answer repeats. A surplus answer that came after the check of the idle connection was the next request's: a caller got another caller's answer, and a health report could be an earlier one. Refusals on kept connections were doubted, and nothing else.

Each request to a target, health probes too, bears Guavaline-Exchange, a number of this send alone, and the target repeats it. Copies of any earlier answer are told by it, whatever identity the request has, and a refusal on a kept connection is believed again.

--- a/src/daemon/node.hpp
+++ b/src/daemon/node.hpp
@@ -125,6 +125,7 @@
   Metrics mMetrics;
 
   HttpClient mTargetClient;
+  std::uint64_t mLastExchange = 0; ///< With a target.
   HttpClient mStoreHttp;
   StoreClient mStore;
   PeerClient mPeers;
--- a/src/daemon/probes.cpp
+++ b/src/daemon/probes.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/described.hpp"
 #include "daemon/log.hpp"
+#include "forwarding/exchange.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -44,9 +45,10 @@
 {
   HttpRequest request;
   request.mTarget = kHealthPath;
-  request.mHeaders.push_back({ "Guavaline-From", aNode.mSettings.mRegion });
+  request.mHeaders.push_back({ kFromHeader, aNode.mSettings.mRegion });
   ExchangeOptions options;
   options.mDeadline = Clock::now() + kProbeTimeout;
+  NameExchange(aNode, request, options);
   const Endpoint endpoint{ aTarget.mAddress, aTarget.mPort };
   const auto result = co_await aNode.mTargetClient.Exchange(
     endpoint, std::move(request), options);
@@ -55,10 +57,12 @@
     co_return;
   }
   HealthReport report;
-  const bool whole = result.mResponse && result.mResponse->mStatus == 200 &&
-                     FromJson(result.mResponse->mBody, report).empty();
   // One probe that ran out of time says little; a refused connection does.
-  const bool reachable = whole || (result.mTimedOut && health->mReachable);
+  const bool saysLittle = result.mTimedOut || IsUnidentified(result);
+  const bool whole = !saysLittle && result.mResponse &&
+                     result.mResponse->mStatus == 200 &&
+                     FromJson(result.mResponse->mBody, report).empty();
+  const bool reachable = whole || (saysLittle && health->mReachable);
   if (reachable != health->mReachable || report.mLeaving != health->mLeaving) {
     Log(LogLevel::Info, "target_health",
         { { "service", aService },
@@ -66,7 +70,7 @@
           { "reachable", reachable ? "yes" : "no" },
           { "leaving", report.mLeaving ? "yes" : "no" } });
   }
-  if (result.mTimedOut) {
+  if (saysLittle) {
     NoteFailure(*health, Clock::now());
     co_return;
   }
--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -22,9 +22,9 @@
 
 bool IsOwnHeader(const std::string& aName)
 {
-  constexpr std::array<std::string_view, 6> kOwn{
-    kTimeoutHeader, kRanHeader,      kReasonHeader,
-    kFromHeader,    kIdentityHeader, kTargetRanHeader
+  constexpr std::array<std::string_view, 7> kOwn{
+    kTimeoutHeader,  kRanHeader,       kReasonHeader,  kFromHeader,
+    kIdentityHeader, kTargetRanHeader, kExchangeHeader
   };
   Headers one{ { aName, "x" } };
   for (const auto it : kOwn) {
@@ -97,11 +97,20 @@
   auto& state = aNode.mServices[aCall.mService];
   auto& health = state.mHealth[*index];
   const auto now = Clock::now();
+  if (IsUnidentified(aResult)) {
+    NoteFailure(health, now);
+    Log(LogLevel::Warning, "answer_unidentified",
+        { { "service", aCall.mService },
+          { "target", aHold.Held().mName },
+          { "identity", aCall.mIdentity },
+          { "status", std::to_string(aResult.mResponse->mStatus) } });
+    return;
+  }
   if (aResult.mResponse) {
     const auto time = std::chrono::duration_cast<Millis>(now - aStarted);
     NoteSuccess(health, time, now);
     NoteServiceTime(state, aCall.mClass.mName, time);
-    health.mRuns.mHeard = now;
+    NoteHeard(health.mRuns, now);
     if (aResult.mResponse->mStatus < 500) {
       NoteServed(aNode.mCrashTable, { aCall.mDigest, now });
     }
@@ -134,6 +143,13 @@
 
 } // namespace
 
+void NameExchange(Node& aNode, HttpRequest& aRequest, ExchangeOptions& aOptions)
+{
+  aOptions.mAnswerIdName = kExchangeHeader;
+  aOptions.mAnswerId = std::to_string(++aNode.mLastExchange);
+  aRequest.mHeaders.push_back({ kExchangeHeader, aOptions.mAnswerId });
+}
+
 TargetResult JudgeExchange(ExchangeResult aResult)
 {
   TargetResult out;
@@ -143,7 +159,7 @@
   }
   out.mShed = aResult.mResponse->mStatus == 503 &&
               FindHeader(aResult.mResponse->mHeaders, kTargetRanHeader) == "no";
-  if (out.mShed && aResult.mReused) {
+  if (IsUnidentified(aResult)) {
     return out;
   }
   out.mMayHaveReached = !out.mShed;
@@ -189,16 +205,18 @@
   const RunCount count(aNode, { aCall.mService, target.mName }, aCall.mDigest,
                        started);
   aHold.Linger();
+  auto request = ForTarget(aNode, aCall, aDeadline);
+  NameExchange(aNode, request, options);
   auto result = co_await aNode.mTargetClient.Exchange(
-    endpoint, ForTarget(aNode, aCall, aDeadline), options);
+    endpoint, std::move(request), options);
   Learn(aNode, aCall, aHold, result, started);
   const bool timedOut = result.mTimedOut;
   auto out = JudgeExchange(std::move(result));
   if (out.mResponse || !out.mMayHaveReached) {
     aHold.EndsNow();
   }
-  if (timedOut || (out.mShed && out.mMayHaveReached)) {
-    // Other kept connections to it may have gone silent, or hold late answers.
+  if (timedOut) {
+    // Other kept connections to it may have gone silent.
     aNode.mTargetClient.Forget(endpoint);
   }
   const auto link = aNode.mLinks.find(target.mRegion);
--- a/src/forwarding/exchange.hpp
+++ b/src/forwarding/exchange.hpp
@@ -15,6 +15,9 @@
 inline constexpr const char* kRanHeader = "Guavaline-Ran";
 inline constexpr const char* kReasonHeader = "Guavaline-Reason";
 inline constexpr const char* kFromHeader = "Guavaline-From";
+/// Names one send. A target repeats it in its answer, which by that is told
+/// from late answers and copies on a kept connection.
+inline constexpr const char* kExchangeHeader = "Guavaline-Exchange";
 /// A target that sheds says by this header that it ran nothing.
 inline constexpr const char* kTargetRanHeader = "Target-Ran";
 /// A target that is about to stop says so on its answers.
@@ -49,8 +52,12 @@
 /// @returns the refusal for a failed placement
 [[nodiscard]] HttpResponse RefusalFor(PlacementFailure aFailure, bool aReached);
 
-/// Tells whether the target ran the request. A refusal on a kept connection may
-/// answer an earlier request, as nothing in it names one.
+/// Gives a request to a target a name of its own, by which its answer is known.
+void NameExchange(Node& aNode, HttpRequest& aRequest,
+                  ExchangeOptions& aOptions);
+
+/// Tells whether the target ran the request. An answer on a kept connection
+/// that does not name it may be the one to an earlier request.
 [[nodiscard]] TargetResult JudgeExchange(ExchangeResult aResult);
 
 /// Sends a call to the target whose slot is held.
--- a/testing/standin/target.cpp
+++ b/testing/standin/target.cpp
@@ -178,6 +178,15 @@
 }
 
 asio::awaitable<HttpResponse> TargetStandin::Handle(HttpRequest aRequest)
+{
+  const std::string exchange(
+    FindHeader(aRequest.mHeaders, detail::kExchangeHeader));
+  auto out = co_await Answer(std::move(aRequest));
+  out.mHeaders.push_back({ detail::kExchangeHeader, exchange });
+  co_return out;
+}
+
+asio::awaitable<HttpResponse> TargetStandin::Answer(HttpRequest aRequest)
 {
   mLastConnection = std::max(mLastConnection, aRequest.mConnection);
   const auto delay =
--- a/testing/standin/target.hpp
+++ b/testing/standin/target.hpp
@@ -54,6 +54,9 @@
 
   boost::asio::awaitable<detail::HttpResponse> Handle(
     detail::HttpRequest aRequest);
+  /// Answers a request, without the name of its exchange.
+  boost::asio::awaitable<detail::HttpResponse> Answer(
+    detail::HttpRequest aRequest);
   boost::asio::awaitable<detail::HttpResponse> Run(
     const detail::HttpRequest& aRequest);
   detail::HttpResponse Health() const;
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -30,6 +30,23 @@
   cr_assert_not(fresh.mMayHaveReached);
 }
 
+Test(exchange, a_refusal_that_names_its_exchange_is_believed)
+{
+  auto named = Answered(503, { { kTargetRanHeader, "no" } }, true);
+  named.mNamesRequest = true;
+  const auto out = JudgeExchange(std::move(named));
+  cr_assert(out.mShed);
+  cr_assert_not(out.mMayHaveReached);
+}
+
+// Guards against another request's answer, which a target wrote again.
+Test(exchange, an_answer_on_a_kept_connection_that_names_no_exchange_is_none)
+{
+  const auto out = JudgeExchange(Answered(200, {}, true));
+  cr_assert_not(out.mResponse);
+  cr_assert(out.mMayHaveReached);
+}
+
 Test(exchange, an_answer_with_a_refusing_status_tells_that_it_ran)
 {
   const auto out = JudgeExchange(Answered(503, {}, false));
