--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -1,5 +1,6 @@
 #include "http/client.hpp"
 
+#include "http/sent_ids.hpp"
 #include "scripted_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -31,9 +32,10 @@
   int mConnections = 0;
 };
 
-/// Sends requests one after another, each within a time.
-Asked Ask(const tests::Script& aScript, int aTimes,
-          const std::string& aBody = "", Millis aTime = 5s)
+/// Sends requests with these ids one after another, each within a time.
+Asked AskEach(const tests::Script& aScript,
+              const std::vector<std::string>& aIds,
+              const std::string& aBody = "", Millis aTime = 5s)
 {
   asio::io_context context(1);
   ScriptedServer server(context, aScript);
@@ -42,14 +44,14 @@
   asio::co_spawn(
     context,
     [&]() -> asio::awaitable<void> {
-      for (int n = 0; n < aTimes; ++n) {
+      for (const auto& it : aIds) {
         HttpRequest request;
         request.mMethod = aBody.empty() ? "GET" : "POST";
         request.mBody = aBody;
         ExchangeOptions options;
         options.mDeadline = Clock::now() + aTime;
         options.mAnswerIdName = "X-Id";
-        options.mAnswerId = "r" + std::to_string(n);
+        options.mAnswerId = it;
         options.mUnframedBody = true;
         const Endpoint endpoint{ "127.0.0.1", server.Port() };
         out.mResults.push_back(co_await client.Exchange(
@@ -63,6 +65,26 @@
   return out;
 }
 
+/// Sends requests with the ids "r0", "r1", ...
+Asked Ask(const tests::Script& aScript, int aTimes,
+          const std::string& aBody = "", Millis aTime = 5s)
+{
+  std::vector<std::string> ids;
+  for (int n = 0; n < aTimes; ++n) {
+    ids.push_back("r" + std::to_string(n));
+  }
+  return AskEach(aScript, ids, aBody, aTime);
+}
+
+/// A server that answers requests in the order of their ids.
+tests::Script ServeEach(const std::vector<std::string>& aIds)
+{
+  return [aIds](int n, const std::string&) -> ScriptedAnswer {
+    return { Whole("ok",
+                   "X-Id: " + aIds[static_cast<std::size_t>(n)] + "\r\n") };
+  };
+}
+
 } // namespace
 
 Test(client, a_connection_is_kept_after_a_whole_answer)
@@ -89,6 +111,33 @@
   cr_assert_eq(out.mResults[2].mResponse->mBody, "ok");
 }
 
+// Guards against the copy of an earlier answer, which bears the id as well.
+Test(client, a_connection_carries_no_id_twice)
+{
+  const std::vector<std::string> ids{ "a", "a", "b", "a", "a", "b" };
+  const auto out = AskEach(ServeEach(ids), ids);
+  cr_assert_eq(out.mConnections, 4);
+  cr_assert_not(out.mResults[1].mReused);
+  cr_assert_eq(out.mResults[1].mPassedOver, 1U);
+  cr_assert(out.mResults[2].mReused);
+  cr_assert_eq(out.mResults[3].mPassedOver, 2U);
+  cr_assert_eq(out.mResults[4].mPassedOver, 3U);
+  // Those that have not carried it are still used.
+  cr_assert(out.mResults[5].mReused);
+}
+
+Test(client, a_connection_that_remembers_no_more_ids_is_not_kept)
+{
+  constexpr int kMany = static_cast<int>(kMaxSentIds) + 1;
+  std::vector<std::string> ids;
+  for (int n = 0; n < kMany; ++n) {
+    ids.push_back("r" + std::to_string(n));
+  }
+  const auto out = AskEach(ServeEach(ids), ids);
+  cr_assert_eq(out.mConnections, 2);
+  cr_assert_not(out.mResults.back().mReused);
+}
+
 Test(client, a_late_answer_to_an_earlier_request_is_skipped)
 {
   // The second answer of the first request arrives with the second request.
