Test the entry's own retry at an address that has turned the request away

The target that it named has left the address to another one, which answers 421; the retry names that one, and a copy of the 421 was its answer: 503 of a request that ran. It is the one path found by which callers that give each attempt its own id can have met the fault.

--- a/tests/unit/copied_answers_test.cpp
+++ b/tests/unit/copied_answers_test.cpp
@@ -40,10 +40,15 @@
     : mTarget(mContext, std::move(aOptions))
   {
     tests::ServeOneRoute(mEntry, aKind);
-    TakeRegistration(
-      mEntry.mRegistry,
-      tests::TargetAt("t1", "127.0.0.1:" + std::to_string(mTarget.Port())),
-      Clock::now());
+    Register("t1");
+  }
+
+  void Register(const char* aId, std::int64_t aStarted = 0)
+  {
+    auto target =
+      tests::TargetAt(aId, "127.0.0.1:" + std::to_string(mTarget.Port()));
+    target.mStarted = aStarted;
+    TakeRegistration(mEntry.mRegistry, target, Clock::now());
   }
 
   static HttpRequest MakeRequest(const std::string& aId)
@@ -159,18 +164,24 @@
 {
   Bed bed(RequestKind::NonIdempotent,
           { CopyTime::AtArrival, "HTTP/1.1 421 Any\r\n" });
-  const auto back = [&] {
-    auto target =
-      tests::TargetAt("t1", "127.0.0.1:" + std::to_string(bed.mTarget.Port()));
-    target.mStarted = 2;
-    TakeRegistration(bed.mEntry.mRegistry, target, Clock::now());
-  };
   cr_assert_eq(bed.Send("q1").mStatus, 503U);
-  back();
+  bed.Register("t1", 2);
   cr_assert_eq(bed.Send("q1").mStatus, 200U);
   cr_assert_not(bed.mEntry.mRegistry.mTargets.at("t1")->mLeft);
 }
 
+// Guards against the same in the entry's own retry: the target that a request
+// names has left its address to another one, which turns it away and then gets
+// the retry.
+Test(copied_answers, a_retry_at_the_address_that_turned_it_away_is_answered)
+{
+  Bed bed(RequestKind::NonIdempotent,
+          { CopyTime::AtArrival, "HTTP/1.1 421 Any\r\n" });
+  bed.Register("t2");
+  cr_assert_eq(bed.Send("q1").mStatus, 200U);
+  cr_assert_eq(bed.mTarget.Runs("q1"), 1);
+}
+
 // Guards against a connection for each request: a full target refuses
 // thousands, and others go on over the connections that it refused on.
 Test(copied_answers, connections_that_refused_carry_other_requests)
