Believe the first answer on a spare connection

A spare connection, which a probe of a target leaves open, is a kept one that has carried nothing. What counts is whether the connection carried a request before. Found by the review; client::the_first_answer_on_a_spare_connection_is_its_requests failed before.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -184,7 +184,7 @@
 
 bool IsUnidentified(const ExchangeResult& aResult) noexcept
 {
-  return aResult.mResponse && aResult.mReused && !aResult.mNamesRequest;
+  return aResult.mResponse && aResult.mExchange > 0 && !aResult.mNamesRequest;
 }
 
 HttpClient::HttpClient(asio::any_io_executor aExecutor)
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -69,8 +69,8 @@
   bool mConnectFailed = false;
   bool mCancelled = false; ///< By this side, such as when a caller left.
   bool mReused = false;    ///< A kept connection was used.
-  /// The answer bears the request's id. Without that, on a kept connection, it
-  /// may be the answer to an earlier request.
+  /// The answer bears the request's id. Without that it may be the answer to an
+  /// earlier request on the connection.
   bool mNamesRequest = false;
   /// Time to open the connection; nothing where it was kept.
   std::optional<std::chrono::microseconds> mConnectTime;
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -111,6 +111,43 @@
   cr_assert_eq(out.mResults[2].mResponse->mBody, "ok");
 }
 
+namespace {
+
+asio::awaitable<ExchangeResult> AskOverSpare(HttpClient& aClient,
+                                             Endpoint aEndpoint)
+{
+  ExchangeOptions options;
+  options.mDeadline = Clock::now() + 5s;
+  options.mAnswerIdName = "X-Id";
+  options.mAnswerId = "r0";
+  (void)co_await aClient.OpenSpare(aEndpoint, options);
+  HttpRequest request;
+  co_return co_await aClient.Exchange(aEndpoint, std::move(request), options);
+}
+
+} // namespace
+
+// Guards against the loss of a sound answer: a spare connection is kept, and
+// has carried nothing before.
+Test(client, the_first_answer_on_a_spare_connection_is_its_requests)
+{
+  asio::io_context context(1);
+  ScriptedServer server(context, [](int, const std::string&) -> ScriptedAnswer {
+    return { Whole("ok") };
+  });
+  HttpClient client(context.get_executor());
+  std::optional<ExchangeResult> result;
+  asio::co_spawn(context, AskOverSpare(client, { "127.0.0.1", server.Port() }),
+                 [&](const std::exception_ptr&, ExchangeResult a) {
+                   result = std::move(a);
+                   context.stop();
+                 });
+  context.run();
+  cr_assert(result->mReused);
+  cr_assert_eq(server.Connections(), 1);
+  cr_assert_not(IsUnidentified(*result));
+}
+
 // Guards against the copy of an earlier answer, which bears the id as well.
 Test(client, a_connection_carries_no_id_twice)
 {
--- a/tests/unit/exchange_test.cpp
+++ b/tests/unit/exchange_test.cpp
@@ -12,6 +12,7 @@
   out.mResponse = HttpResponse{ aStatus, std::move(aHeaders), "" };
   out.mMayHaveReached = true;
   out.mReused = aReused;
+  out.mExchange = aReused ? 1 : 0;
   return out;
 }
 
