Send HEAD over connections of its own

A late answer is framed by the method of the request under way, not by that of its own. HEAD uses a new connection now and leaves none, so that all answers on a kept one are framed alike. Guarded by client::answers_without_bodies_share_no_connection_with_others.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -414,8 +414,12 @@
 {
   ExchangeResult result;
   const auto pool = mPool;
+  // A late answer is framed as the own one is: answers to HEAD, which have no
+  // body, share no connection with others.
+  const bool head = aRequest.mMethod == "HEAD";
   auto connection =
-    pool->Take(aEndpoint, aOptions, result.mPassedOver, Clock::now());
+    head ? nullptr
+         : pool->Take(aEndpoint, aOptions, result.mPassedOver, Clock::now());
   result.mReused = connection != nullptr;
   if (!connection) {
     connection =
@@ -426,7 +430,6 @@
   }
   NoteRequest(*connection, aOptions, result);
   CloseGuard guard(connection);
-  const bool head = aRequest.mMethod == "HEAD";
   const bool small = aRequest.mBody.size() <= kSmallBody;
   boost::intrusive_ptr<Sending> sending(new Sending);
   sending->mHead = RequestHead(aRequest, aEndpoint.Text());
@@ -461,7 +464,7 @@
   }
   const bool whole = sending->mDone && !sending->mError;
   const bool named = aOptions.mAnswerIdName.empty() || result.mNamesRequest;
-  const bool keep = whole && named && !parser->need_eof() &&
+  const bool keep = whole && named && !head && !parser->need_eof() &&
                     parser->keep_alive() && !IsFull(connection->mSentIds);
   result.mResponse = TakeResponse(*parser);
   if (keep && connection->mBuffer.size() == 0) {
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -113,6 +113,55 @@
 
 namespace {
 
+asio::awaitable<ExchangeResult> AskBy(HttpClient& aClient, Endpoint aEndpoint,
+                                      std::string aMethod, std::string aId)
+{
+  ExchangeOptions options;
+  options.mDeadline = Clock::now() + 5s;
+  options.mAnswerIdName = "X-Id";
+  options.mAnswerId = std::move(aId);
+  HttpRequest request;
+  request.mMethod = std::move(aMethod);
+  co_return co_await aClient.Exchange(aEndpoint, std::move(request), options);
+}
+
+asio::awaitable<void> AskByTurns(HttpClient& aClient, Endpoint aEndpoint,
+                                 std::vector<ExchangeResult>& aResults)
+{
+  int n = 0;
+  for (const auto* it : { "GET", "HEAD", "GET", "HEAD" }) {
+    const auto id = "r" + std::to_string(n++);
+    aResults.push_back(co_await AskBy(aClient, aEndpoint, it, id));
+  }
+}
+
+} // namespace
+
+// Guards against the copy of an answer without a body that takes the next
+// answer's bytes as its own.
+Test(client, answers_without_bodies_share_no_connection_with_others)
+{
+  asio::io_context context(1);
+  ScriptedServer server(context, [](int n, const std::string& aHead) {
+    const auto whole = Whole("ok", "X-Id: r" + std::to_string(n) + "\r\n");
+    const bool head = aHead.compare(0, 4, "HEAD") == 0;
+    return ScriptedAnswer{ head ? whole.substr(0, whole.size() - 2) : whole };
+  });
+  HttpClient client(context.get_executor());
+  std::vector<ExchangeResult> results;
+  asio::co_spawn(context,
+                 AskByTurns(client, { "127.0.0.1", server.Port() }, results),
+                 [&](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  cr_assert_eq(server.Connections(), 3);
+  for (std::size_t n = 0; n < results.size(); ++n) {
+    cr_assert(results[n].mResponse, "%zu", n);
+    cr_assert_eq(results[n].mReused, n == 2, "%zu", n);
+  }
+}
+
+namespace {
+
 asio::awaitable<ExchangeResult> AskOverSpare(HttpClient& aClient,
                                              Endpoint aEndpoint)
 {
