guavalined: no "not run" for an identity that moved while it waited

A flight that waits for a slot holds its identity without running it, so that a peer that asks is given it and may run it. If the wait then ended without a slot, callers were told "no", and those who joined that flight after a run elsewhere whose answer was lost heard a promise that was false. Found by the review while it looked for false promises.

--- a/include/guavaline/attempts/attempts.hpp
+++ b/include/guavaline/attempts/attempts.hpp
@@ -105,6 +105,10 @@
                                   const std::string& aIdentity,
                                   std::uint64_t aDigest, TimePoint aNow);
 
+/// @returns true where this incarnation alone may run an identity, and has not
+[[nodiscard]] bool IsHeld(const AttemptTable& aTable,
+                          const std::string& aIdentity);
+
 /// Marks an identity as running, just before its first byte is sent.
 /// @returns false where it is no longer held here and must not be run
 [[nodiscard]] bool StartRun(AttemptTable& aTable, const std::string& aIdentity);
--- a/src/attempts/attempts.cpp
+++ b/src/attempts/attempts.cpp
@@ -198,6 +198,13 @@
   return { AdmitAction::Ask, {}, identity->mIssuer };
 }
 
+bool IsHeld(const AttemptTable& aTable, const std::string& aIdentity)
+{
+  const auto it = aTable.mAttempts.find(aIdentity);
+  return it != aTable.mAttempts.end() &&
+         it->second.mState == AttemptState::Held;
+}
+
 bool StartRun(AttemptTable& aTable, const std::string& aIdentity)
 {
   auto* attempt = Find(aTable, aIdentity);
--- a/src/forwarding/flights.cpp
+++ b/src/forwarding/flights.cpp
@@ -79,13 +79,24 @@
   co_return decision;
 }
 
+/// Refuses an identity that nothing here has run. A peer may have been given it
+/// meanwhile, and may have run it.
+HttpResponse RefuseUnrun(const Node& aNode, const Call& aCall,
+                         HttpResponse aRefusal)
+{
+  return IsHeld(aNode.mAttempts, aCall.mIdentity)
+           ? std::move(aRefusal)
+           : Refusal(503, "unknown", "moved");
+}
+
 /// Runs an identity that is held here.
 asio::awaitable<HttpResponse> RunHeld(Node& aNode, Call& aCall)
 {
   for (std::size_t n = 0; n < kMaxTries; ++n) {
     auto placement = co_await Place(aNode, QueryFor(aCall));
     if (placement.mFailure != PlacementFailure::None) {
-      co_return RefusalFor(placement.mFailure, false);
+      co_return RefuseUnrun(aNode, aCall,
+                            RefusalFor(placement.mFailure, false));
     }
     if (!StartRun(aNode.mAttempts, aCall.mIdentity)) {
       // A peer was given it while it waited here.
@@ -107,7 +118,7 @@
     FinishRun(aNode.mAttempts, aCall.mIdentity, ToOutcome(*result.mResponse));
     co_return std::move(*result.mResponse);
   }
-  co_return Refusal(503, "no", "targets_failed");
+  co_return RefuseUnrun(aNode, aCall, Refusal(503, "no", "targets_failed"));
 }
 
 asio::awaitable<HttpResponse> Run(Node& aNode, Call& aCall)
