guavalined: hear and tell late answers

Late answers counted as signs of life, and were logged, at entries of the platform alone; an unidentified answer at guavalined was no sign either, so that a target that sent only such could be taken for silent. The same events and counter as the entries' now.

--- a/src/forwarding/exchange.cpp
+++ b/src/forwarding/exchange.cpp
@@ -97,7 +97,19 @@
   auto& state = aNode.mServices[aCall.mService];
   auto& health = state.mHealth[*index];
   const auto now = Clock::now();
+  for (const auto& it : aResult.mLate) {
+    NoteHeard(health.mRuns, it.mArrived);
+  }
+  if (!aResult.mLate.empty()) {
+    aNode.mMetrics.Count("late_answers", "service=\"" + aCall.mService + "\"");
+    LogBounded(LogClass::Failure, LogLevel::Info, "late_answers",
+               { { "service", aCall.mService },
+                 { "target", aHold.Held().mName },
+                 { "identity", aCall.mIdentity },
+                 { "count", std::to_string(aResult.mLate.size()) } });
+  }
   if (IsUnidentified(aResult)) {
+    NoteHeard(health.mRuns, now);
     NoteFailure(health, now);
     Log(LogLevel::Warning, "answer_unidentified",
         { { "service", aCall.mService },
