Soak: copies of refusals that meet their request

Its callers gave each attempt an id of its own, its targets refused only when full, and nothing wrote an answer twice, so that a copy never met its request.

In the time of trouble the targets of one region (by the seed) refuse a tenth of the ids at first sight, 503 and 429 in turn, and the proxies in front of them write refusals again: as their request arrives on the same connection, and one in four 0 to 300 ms later, never into another answer. Two of three calls come again with the same id after 0 to 200 ms, up to four attempts, at the same entry. X-Soak-Attempt tells attempts apart in histories, whose checks are as strict for each attempt as before; CheckOnceOverAttempts is new: an id on POST runs at most once over all of them. Its test fails where the check is not called (tried).

--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -28,6 +28,9 @@
 constexpr Millis kKeep{ 60'000 };
 constexpr double kMicrosPerSecond = 1'000'000;
 constexpr int kMaxAttempts = 2;
+/// Where a refused request comes again with its id.
+constexpr int kMaxKeptAttempts = 4;
+constexpr std::uint64_t kMaxPauseMs = 200;
 constexpr std::size_t kObjects = 40;
 
 /// A kind of request.
@@ -89,7 +92,7 @@
         mOptions.mEntries[mRandom() % mOptions.mEntries.size()];
       asio::co_spawn(mContext,
                      Send(kCrashing, entry,
-                          kCrasherName + std::to_string(++mCalls), "1",
+                          kCrasherName + std::to_string(++mCalls), 1, "1",
                           Clock::now() + kCrashing.mLimit),
                      asio::detached);
     }
@@ -160,25 +163,38 @@
     }
     const auto object = std::to_string(mRandom() % kObjects);
     const auto number = std::to_string(++mCalls);
-    for (int n = 1; n <= kMaxAttempts && Clock::now() < deadline; ++n) {
-      const auto& entry =
-        mOptions.mEntries[mUsable[mRandom() % mUsable.size()]];
-      const auto id = mName + "-" + number + "-" + std::to_string(n);
-      const auto result = co_await Send(aKind, entry, id, object, deadline);
+    const bool keepsId = mRandom() % 3 != 0;
+    const int most = keepsId ? kMaxKeptAttempts : kMaxAttempts;
+    std::string id;
+    std::size_t entry = 0;
+    for (int n = 1; n <= most && Clock::now() < deadline; ++n) {
+      if (id.empty()) {
+        id = mName + "-" + number + "-" + std::to_string(n);
+        entry = mUsable[mRandom() % mUsable.size()];
+      }
+      const auto result =
+        co_await Send(aKind, mOptions.mEntries[entry], id, n, object, deadline);
       const bool refused =
         result.mResponse && IsPromise(result.mResponse->mStatus);
       const bool failed = !result.mResponse || result.mResponse->mStatus >= 500;
       const bool once =
         aKind.mPath == kConfirmations.mPath || aKind.mPath == kUploads.mPath;
-      if (!refused && (once || !failed)) {
+      if (!refused && (once || !failed || n >= kMaxAttempts)) {
         break;
       }
+      if (refused && keepsId) {
+        asio::steady_timer timer(
+          mContext, Millis(static_cast<Millis::rep>(mRandom() % kMaxPauseMs)));
+        co_await timer.async_wait(asio::use_awaitable);
+      } else {
+        id.clear();
+      }
     }
   }
 
   asio::awaitable<ExchangeResult> Send(Kind aKind, SoakEntry aEntry,
-                                       std::string aId, std::string aObject,
-                                       TimePoint aDeadline)
+                                       std::string aId, int aAttempt,
+                                       std::string aObject, TimePoint aDeadline)
   {
     HttpRequest request;
     request.mMethod = aKind.mMethod;
@@ -188,7 +204,8 @@
     }
     Event event;
     event.mKind = EventKind::CallSent;
-    event.mIdentity = aId;
+    const auto attempt = std::to_string(aAttempt);
+    event.mIdentity = AttemptIdentity(aId, attempt);
     event.mClass = aKind.mMethod;
     event.mPlace = aEntry.mName;
     event.mDigest = HexId(Hash(request.mBody));
@@ -199,7 +216,8 @@
                          { "X-Request-Id", aId },
                          { "X-Deadline-Ms", std::to_string(left.count()) },
                          { "Cookie", "X-Affinity-Key=" + aObject },
-                         { kEntryHeader, aEntry.mName } };
+                         { kEntryHeader, aEntry.mName },
+                         { kAttemptHeader, attempt } };
     ExchangeOptions options;
     options.mDeadline = aDeadline;
     options.mReuseWithin = kKeep;
--- a/testing/soak/checks.cpp
+++ b/testing/soak/checks.cpp
@@ -61,6 +61,26 @@
   return out;
 }
 
+/// Requests that run at most once, and ran as several of their attempts.
+Lines CheckOnceOverAttempts(const SoakHistory& aHistory)
+{
+  Lines out;
+  std::map<std::string, const Event*> first; // By the request's id.
+  for (const auto& it : aHistory.mEvents) {
+    if (it.mKind != EventKind::RunStarted || it.mClass != "POST") {
+      continue;
+    }
+    const auto id = it.mIdentity.substr(0, it.mIdentity.rfind('/'));
+    const auto [at, isFirst] = first.emplace(id, &it);
+    // Twice as the same attempt is CheckAtMostOnce's.
+    if (!isFirst && at->second->mIdentity != it.mIdentity) {
+      out.push_back("ran twice over its attempts: " + At(*at->second) +
+                    " and " + At(it));
+    }
+  }
+  return out;
+}
+
 /// New work at targets that had announced that they leave.
 Lines CheckDrain(const SoakHistory& aHistory)
 {
@@ -376,10 +396,10 @@
   Lines out;
   for (const auto& lines :
        { CheckAtMostOnce(aHistory.mEvents), CheckTruth(aHistory.mEvents),
-         CheckOwnAnswers(aHistory.mEvents), CheckAsked(aHistory),
-         CheckDrain(aHistory), CheckRouting(aHistory), CheckWeights(aHistory),
-         CheckLimits(aHistory), CheckStops(aHistory), CheckCrashers(aHistory),
-         CheckRecovery(aHistory) }) {
+         CheckOwnAnswers(aHistory.mEvents), CheckOnceOverAttempts(aHistory),
+         CheckAsked(aHistory), CheckDrain(aHistory), CheckRouting(aHistory),
+         CheckWeights(aHistory), CheckLimits(aHistory), CheckStops(aHistory),
+         CheckCrashers(aHistory), CheckRecovery(aHistory) }) {
     out.insert(out.end(), lines.begin(), lines.end());
   }
   return out;
--- a/testing/soak/proxy.hpp
+++ b/testing/soak/proxy.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// Loopback proxy that harms the connections through it: delays, resets,
-/// cuts one way, silence.
+/// cuts one way, silence, copies of refusals.
 
 #include "http/client.hpp"
 
@@ -9,6 +9,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <memory>
+#include <random>
 #include <set>
 
 namespace guavaline::testing {
@@ -22,6 +23,13 @@
   bool mRefuse = false;       ///< New connections are reset.
 };
 
+/// Copies of refusals that a proxy wrote.
+struct CopyCounts
+{
+  std::size_t mMet = 0; ///< While the refused request was under way again.
+  std::size_t mOthers = 0;
+};
+
 class ProxyConnection;
 
 class SoakProxy
@@ -37,6 +45,14 @@
   /// @returns an empty text, or the reason why it cannot listen
   [[nodiscard]] std::string Listen(const detail::Endpoint& aWhere);
   void SetFaults(const ProxyFaults& aFaults) { mFaults = aFaults; }
+  /// Refusals of the server that promise "not run" come once more: as their
+  /// request arrives again on the same connection, and some at any time.
+  void SetCopies(bool aOn, std::uint64_t aSeed)
+  {
+    mCopying = aOn;
+    mRandom.seed(aSeed);
+  }
+  [[nodiscard]] const CopyCounts& Copies() const noexcept { return mCopies; }
   /// Takes no new connections.
   void StopListening();
   /// Ends everything.
@@ -55,6 +71,9 @@
   detail::Endpoint mServer;
   boost::asio::ip::tcp::acceptor mAcceptor;
   ProxyFaults mFaults;
+  bool mCopying = false;
+  std::mt19937_64 mRandom;
+  CopyCounts mCopies;
   std::set<ProxyConnection*> mConnections;
 };
 
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -97,6 +97,7 @@
   void Trouble(TimePoint aEnd)
   {
     auto next = Clock::now();
+    mWorld.CopyRefusals(true);
     for (std::size_t n = 0; n < kLimits; ++n) {
       Limit();
     }
@@ -110,6 +111,7 @@
       }
       std::this_thread::sleep_for(kTick);
     }
+    mWorld.CopyRefusals(false);
   }
 
   /// The store comes back from a copy that is some seconds old, again and
@@ -422,6 +424,8 @@
     mHistory.mEvents = mWorld.Events().Copy();
     const auto& crashed = mWorld.CrashedByRequests();
     std::printf("targets crashed by requests: %zu\n", crashed.size());
+    const auto copies = mWorld.Copies();
+    std::printf("copies: %zu met, %zu others\n", copies.mMet, copies.mOthers);
     mHistory.mImpairments.insert(mHistory.mImpairments.end(), crashed.begin(),
                                  crashed.end());
     SortEvents(mHistory.mEvents);
--- a/testing/soak/world.cpp
+++ b/testing/soak/world.cpp
@@ -511,6 +511,29 @@
   });
 }
 
+void World::CopyRefusals(bool aOn)
+{
+  OnWorld([&] {
+    // An entry tries a refused request once more in its region.
+    const auto region = mOptions.mSeed % mOptions.mRegions;
+    for (std::size_t n = 0; n < mOptions.mTargetsPerRegion; ++n) {
+      const auto at = region * mOptions.mTargetsPerRegion + n;
+      mTargets[at].mTarget->SetRefusesFirst(aOn, mOptions.mSeed);
+      mTargets[at].mProxy->SetCopies(aOn, HashPair(mOptions.mSeed, at));
+    }
+  });
+}
+
+CopyCounts World::Copies() const
+{
+  CopyCounts out;
+  for (const auto& it : mTargets) {
+    out.mMet += it.mProxy->Copies().mMet;
+    out.mOthers += it.mProxy->Copies().mOthers;
+  }
+  return out;
+}
+
 void World::PutRouting()
 {
   mStore.Put("config", "main", MakeConfiguration(mVersion));
--- a/testing/soak/world.hpp
+++ b/testing/soak/world.hpp
@@ -92,6 +92,10 @@
   /// A target names a rate limit, or ends it with 0.
   void LimitTarget(std::size_t aTarget, double aPerSecond);
 
+  /// Lets the targets of one region refuse at first sight, and refusals come
+  /// again on their connections.
+  void CopyRefusals(bool aOn);
+
   /// Moves the reads to the other service and changes the weights of the
   /// split route.
   void ChangeRouting();
@@ -104,6 +108,9 @@
     return mCrashed;
   }
 
+  /// @returns copies of refusals that were written; called after Stop
+  [[nodiscard]] CopyCounts Copies() const;
+
 private:
   struct TargetPlace
   {
--- a/testing/standin/platform_target.cpp
+++ b/testing/standin/platform_target.cpp
@@ -16,6 +16,8 @@
 
 /// One run in this many ends with a status that says "not run", unmarked.
 constexpr std::uint64_t kRunsPerFalseRefusal = 50;
+/// One id in this many is refused at first sight.
+constexpr std::uint64_t kIdsPerFirstRefusal = 10;
 
 } // namespace
 
@@ -23,6 +25,15 @@
 using detail::HttpRequest;
 using detail::HttpResponse;
 
+std::string AttemptIdentity(std::string_view aId, std::string_view aAttempt)
+{
+  std::string out(aId);
+  if (!aAttempt.empty()) {
+    out.append("/").append(aAttempt);
+  }
+  return out;
+}
+
 /// Counts a run in and out; it ends as cancelled unless told otherwise.
 class PlatformRun
 {
@@ -31,7 +42,9 @@
     : mTarget(aTarget)
   {
     mEvent.mKind = EventKind::RunStarted;
-    mEvent.mIdentity = FindHeader(aRequest.mHeaders, "X-Request-Id");
+    mEvent.mIdentity =
+      AttemptIdentity(FindHeader(aRequest.mHeaders, "X-Request-Id"),
+                      FindHeader(aRequest.mHeaders, kAttemptHeader));
     mEvent.mPlace = FindHeader(aRequest.mHeaders, kEntryHeader);
     mEvent.mService = mTarget.mOptions.mService;
     mEvent.mPeer = mTarget.mOptions.mId;
@@ -134,6 +147,13 @@
   return aAnswer;
 }
 
+bool PlatformTarget::RefusesAtFirstSight(const std::string& aId)
+{
+  return mRefusesFirst && !aId.empty() &&
+         HashPair(mRefusalSeed, Hash(aId)) % kIdsPerFirstRefusal == 0 &&
+         mRefusedIds.insert(aId).second;
+}
+
 asio::awaitable<HttpResponse> PlatformTarget::Handle(std::uint64_t aLife,
                                                      HttpRequest aRequest)
 {
@@ -153,6 +173,11 @@
     out.mHeaders.push_back({ "X-Not-Executed", "1" });
     co_return out;
   }
+  if (RefusesAtFirstSight(out.mHeaders.front().mValue)) {
+    out.mStatus = mRefusedIds.size() % 2 == 0 ? 503 : 429;
+    out.mHeaders.push_back({ "X-Not-Executed", "1" });
+    co_return out;
+  }
   PlatformRun run(*this, aRequest);
   if (aRequest.mTarget.find(kCrashPath) != std::string::npos) {
     CrashByRequest();
--- a/testing/standin/platform_target.hpp
+++ b/testing/standin/platform_target.hpp
@@ -11,12 +11,21 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace guavaline::testing {
 
 /// Header by which soak callers name the entry that they sent to.
 inline constexpr const char* kEntryHeader = "X-Soak-Entry";
 
+/// Header by which they number the attempts of a request, which may all bear
+/// the same id.
+inline constexpr const char* kAttemptHeader = "X-Soak-Attempt";
+
+/// @returns the identity of an attempt in histories
+[[nodiscard]] std::string AttemptIdentity(std::string_view aId,
+                                          std::string_view aAttempt);
+
 /// Requests with this in their path crash each target that begins to run them.
 inline constexpr std::string_view kCrashPath = "/crash/";
 
@@ -62,6 +71,13 @@
   void SetSlow(double aFactor) noexcept { mSlow = aFactor; }
   /// Called after a request has crashed it.
   void OnCrash(std::function<void()> aDo) { mOnCrash = std::move(aDo); }
+  /// Refuses a part of the ids, which all targets with the same seed share,
+  /// when it first sees them.
+  void SetRefusesFirst(bool aOn, std::uint64_t aSeed) noexcept
+  {
+    mRefusesFirst = aOn;
+    mRefusalSeed = aSeed;
+  }
   /// Names a rate limit in answers; 0 for none.
   void SetLimit(double aPerSecond) noexcept { mPerSecond = aPerSecond; }
   [[nodiscard]] const PlatformTargetOptions& About() const noexcept
@@ -76,6 +92,7 @@
   /// Waits until the caller leaves.
   boost::asio::awaitable<void> NeverAnswer();
   detail::HttpResponse RefuseAfterRun(detail::HttpResponse aAnswer) const;
+  bool RefusesAtFirstSight(const std::string& aId);
   boost::asio::awaitable<detail::HttpResponse> Handle(
     std::uint64_t aLife, detail::HttpRequest aRequest);
 
@@ -95,6 +112,9 @@
   double mPerSecond = 0;
   std::uint32_t mInFlight = 0;
   std::uint64_t mRuns = 0;
+  bool mRefusesFirst = false;
+  std::uint64_t mRefusalSeed = 0;
+  std::set<std::string> mRefusedIds; ///< At first sight.
 };
 
 } // namespace guavaline::testing
--- a/tests/unit/soak_checks_test.cpp
+++ b/tests/unit/soak_checks_test.cpp
@@ -251,3 +251,25 @@
   AddCrasherRuns(history, 11);
   cr_assert_eq(Broken(history), 1U);
 }
+
+Test(soak_checks, a_request_that_runs_as_two_attempts_of_its_id_is_found)
+{
+  auto history = MakeCalm();
+  for (const char* it : { "u1/1", "u1/2" }) {
+    auto event = MakeEvent(kSecond, EventKind::CallSent, it);
+    event.mClass = "POST";
+    history.mEvents.push_back(event);
+  }
+  auto run = MakeEvent(kSecond + 1, EventKind::RunStarted, "u1/1");
+  run.mClass = "POST";
+  history.mEvents.push_back(run);
+  cr_assert_eq(Broken(history), 0U);
+  run.mIdentity = "u1/2";
+  history.mEvents.push_back(run);
+  cr_assert_eq(Broken(history), 1U);
+  // Others may be repeated.
+  for (auto& it : history.mEvents) {
+    it.mClass = "GET";
+  }
+  cr_assert_eq(Broken(history), 0U);
+}
