--- a/testing/soak/callers.cpp
+++ b/testing/soak/callers.cpp
@@ -217,7 +217,7 @@
                          { "X-Deadline-Ms", std::to_string(left.count()) },
                          { "Cookie", "X-Affinity-Key=" + aObject },
                          { kEntryHeader, aEntry.mName },
-                         { kAttemptHeader, attempt } };
+                         { kSoakAttemptHeader, attempt } };
     ExchangeOptions options;
     options.mDeadline = aDeadline;
     options.mReuseWithin = kKeep;
--- a/testing/standin/platform_target.cpp
+++ b/testing/standin/platform_target.cpp
@@ -44,7 +44,7 @@
     mEvent.mKind = EventKind::RunStarted;
     mEvent.mIdentity =
       AttemptIdentity(FindHeader(aRequest.mHeaders, "X-Request-Id"),
-                      FindHeader(aRequest.mHeaders, kAttemptHeader));
+                      FindHeader(aRequest.mHeaders, kSoakAttemptHeader));
     mEvent.mPlace = FindHeader(aRequest.mHeaders, kEntryHeader);
     mEvent.mService = mTarget.mOptions.mService;
     mEvent.mPeer = mTarget.mOptions.mId;
--- a/testing/standin/platform_target.hpp
+++ b/testing/standin/platform_target.hpp
@@ -20,7 +20,7 @@
 
 /// Header by which they number the attempts of a request, which may all bear
 /// the same id.
-inline constexpr const char* kAttemptHeader = "X-Soak-Attempt";
+inline constexpr const char* kSoakAttemptHeader = "X-Soak-Attempt";
 
 /// @returns the identity of an attempt in histories
 [[nodiscard]] std::string AttemptIdentity(std::string_view aId,
