Tests: pick ports below the system's range for outgoing connections

crash_sharing failed now and then with "Address already in use": a port was chosen and closed, and an outgoing connection, or another program, took it before the test listened. Ports come from a range that the system gives to no outgoing connection; they stay drawn at random, and tried.

--- a/testing/cluster/ports.hpp
+++ b/testing/cluster/ports.hpp
@@ -3,6 +3,7 @@
 /// Ports for test deployments.
 
 #include <cstdint>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -13,9 +14,11 @@
 class PortPicker
 {
 public:
+  PortPicker();
   [[nodiscard]] std::uint16_t Pick(const std::string& aAddress);
 
 private:
+  std::mt19937 mRandom;
   std::set<std::pair<std::string, std::uint16_t>> mPicked;
 };
 
