Failing test: a domain that comes back while a target is asked

Targets of a failure domain that has gone without a word are asked for 700 ms each, then others of the domain are. Where the domain comes back in between, the others listen, and the requests that ran at the target are taken to have crashed it.

--- a/tests/unit/crashes_test.cpp
+++ b/tests/unit/crashes_test.cpp
@@ -1,11 +1,18 @@
 #include "entry/crashes.hpp"
 
+#include "cluster/ports.hpp"
 #include "entry_fixtures.hpp"
 #include "fixtures.hpp"
 #include "scripted_server.hpp"
+#include "standin/platform_target.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
 
 #include <criterion/criterion.h>
 
+#include <memory>
+#include <vector>
+
 using namespace guavaline;
 using namespace guavaline::detail;
 using namespace std::chrono_literals;
@@ -119,3 +126,68 @@
   bed.Register(2);
   cr_assert_eq(bed.Suspects(), 0U);
 }
+
+namespace {
+
+/// Judges a silent target while another one of its failure domain serves.
+/// @param aBack  both are silent, and are back before the other is asked
+/// @returns how many requests are suspect
+std::size_t SuspectsOfSilence(bool aBack)
+{
+  using testing::PlatformTarget;
+  constexpr const char* kAddress = "127.0.0.1";
+  boost::asio::io_context context{ 1 };
+  const auto work = boost::asio::make_work_guard(context);
+  Entry entry{ context, tests::EntrySettingsOf("e1"), tests::PlainAdapter() };
+  testing::PortPicker ports;
+  testing::History history;
+  std::vector<std::unique_ptr<PlatformTarget>> targets;
+  for (const auto* id : { "t1", "t2" }) {
+    testing::PlatformTargetOptions options;
+    options.mId = id;
+    options.mService = "service";
+    options.mAddress = kAddress;
+    options.mPort = ports.Pick(kAddress);
+    targets.push_back(
+      std::make_unique<PlatformTarget>(context, options, history, 1));
+    cr_assert(targets.back()->Start().empty());
+    targets.back()->SetCrashManner(testing::CrashManner::Mute);
+    TakeRegistration(
+      entry.mRegistry,
+      tests::TargetAt(id, kAddress + (":" + std::to_string(options.mPort))),
+      Clock::now());
+  }
+  targets[0]->Crash();
+  if (aBack) {
+    targets[1]->Crash();
+  }
+  context.run_for(50ms);
+  const auto now = Clock::now();
+  NoteBrokenRun(entry, entry.mRegistry.mTargets.at("t1"),
+                { 1, now - 1s, now, RunEnd::Unseen }, now);
+  // The system sends the probe's first packet again after a second, when the
+  // probe has ended.
+  context.run_for(500ms);
+  if (aBack) {
+    for (const auto& it : targets) {
+      cr_assert(it->Start().empty());
+    }
+  }
+  context.run_for(2s);
+  return entry.mCrashTable.mRecords.size();
+}
+
+} // namespace
+
+// Guards against requests that are taken to have crashed a target when its
+// failure domain was silent and came back while the target was asked.
+Test(crashes, a_domain_that_is_back_when_asked_blames_no_request)
+{
+  cr_assert_eq(SuspectsOfSilence(true), 0U);
+}
+
+// The same where the target stays silent beside another one that serves.
+Test(crashes, a_target_silent_beside_another_has_crashed)
+{
+  cr_assert_eq(SuspectsOfSilence(false), 1U);
+}
