Ask a silent target once more before its requests are blamed

When others of its failure domain have answered, or there are none, a target that listens by now may have been silent along with all of them. Its runs stay suspect until another life registers.

--- a/src/entry/crashes.cpp
+++ b/src/entry/crashes.cpp
@@ -98,6 +98,16 @@
   co_return serves ? DomainState::Serves : DomainState::Failed;
 }
 
+/// Asks a silent target once more when others of its failure domain have
+/// answered: where it listens by now, all of the domain may have been silent
+/// until then. If it is another life, its registration shows that.
+asio::awaitable<bool> IsBack(Entry& aEntry, const LiveTarget& aTarget)
+{
+  const auto state = co_await ProbeListener(
+    aEntry.mTargetClient, *ParseEndpoint(aTarget.mRegistration.mAddress));
+  co_return state == ListenState::Listens;
+}
+
 /// Judges a target that takes no connections.
 /// @param aSince  when it began to be asked
 asio::awaitable<void> JudgeEnded(Entry& aEntry, TargetPtr aTarget,
@@ -108,6 +118,10 @@
     co_return;
   }
   const auto domain = co_await FindDomainState(aEntry, aTarget, aSince);
+  if (aSign == EndSign::Silent && domain != DomainState::Failed &&
+      co_await IsBack(aEntry, *aTarget)) {
+    co_return;
+  }
   const auto now = Clock::now();
   if (aSign == EndSign::Silent && aTarget->mRuns.mHeard > aSince) {
     co_return;
