--- a/tests/unit/crash_sharing_test.cpp
+++ b/tests/unit/crash_sharing_test.cpp
@@ -65,9 +65,8 @@
   return out;
 }
 
-/// Crashes targets whose hosts fall silent; they are back at other addresses
-/// long after an entry gave up on a connection.
-void CrashSilently(CrashManner aManner, RequestKind aKind)
+/// Sends a request that crashes targets among many others, one in some thirty.
+void CrashAmongOthers(CrashManner aManner, RequestKind aKind, bool aMoves)
 {
   FleetOptions options;
   options.mTargets = 48;
@@ -76,7 +75,7 @@
   options.mManner = aManner;
   options.mDownTime = 3s;
   options.mLapseTime = 4'500ms;
-  options.mMoves = true;
+  options.mMoves = aMoves;
   Fleet fleet(options);
   fleet.KeepSending(PopularRequests(48), 7ms, 12s);
   fleet.KeepSending({ "/crash/1" }, 250ms, 12s);
@@ -84,6 +83,13 @@
   CheckBound(fleet);
 }
 
+/// Crashes targets whose hosts fall silent; they are back at other addresses
+/// long after an entry gave up on a connection.
+void CrashSilently(CrashManner aManner, RequestKind aKind)
+{
+  CrashAmongOthers(aManner, aKind, true);
+}
+
 EntryRecord RecordIn(const std::string& aName, const std::string& aRegion)
 {
   EntryRecord out;
@@ -109,6 +115,14 @@
   CrashThrough(32, RequestKind::Idempotent, 120ms);
 }
 
+// Guards against a request that comes at all entries at once, among many
+// others, and crashes targets that are back after some seconds
+// (deploy/days/deadly.toml).
+Test(crash_sharing, a_deadly_request_among_many_is_stopped, .timeout = 60)
+{
+  CrashAmongOthers(CrashManner::Refuses, RequestKind::Idempotent, false);
+}
+
 // Guards against crashes that no refused connection and no other life at the
 // address shows, since the target's host is gone.
 Test(crash_sharing, targets_that_fall_silent_have_crashed, .timeout = 60)
