--- a/tests/unit/fixtures.cpp
+++ b/tests/unit/fixtures.cpp
@@ -35,6 +35,15 @@
   return out;
 }
 
+detail::Settings DaemonSettings()
+{
+  detail::Settings out;
+  out.mName = "e1";
+  out.mAddress = "127.0.0.1";
+  out.mStore = "127.0.0.1:1";
+  return out;
+}
+
 Service OneRegionService(std::uint32_t aTargets, std::uint32_t aSlots)
 {
   Service out;
--- a/tests/unit/flights_test.cpp
+++ b/tests/unit/flights_test.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/flights.hpp"
 
+#include "fixtures.hpp"
 #include "forwarding/exchange.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -16,20 +17,11 @@
 
 namespace {
 
-Settings SettingsOfEntry()
-{
-  Settings out;
-  out.mName = "e1";
-  out.mAddress = "127.0.0.1";
-  out.mStore = "127.0.0.1:1";
-  return out;
-}
-
 /// A node whose only slot is in use.
 struct Bed
 {
   asio::io_context mContext{ 1 };
-  Node mNode{ mContext, SettingsOfEntry() };
+  Node mNode{ mContext, tests::DaemonSettings() };
 
   Bed()
   {
--- a/tests/unit/forwarding_crashes_test.cpp
+++ b/tests/unit/forwarding_crashes_test.cpp
@@ -1,5 +1,6 @@
 #include "forwarding/crashes.hpp"
 
+#include "fixtures.hpp"
 #include "forwarding/exchange.hpp"
 #include "scripted_server.hpp"
 #include "standin/held_port.hpp"
@@ -24,20 +25,11 @@
 
 constexpr std::uint64_t kDigest = 1;
 
-Settings SettingsOfEntry()
-{
-  Settings out;
-  out.mName = "e1";
-  out.mAddress = "127.0.0.1";
-  out.mStore = "127.0.0.1:1";
-  return out;
-}
-
 /// A node with three targets in one failure domain, which lose each answer.
 struct Bed
 {
   asio::io_context mContext{ 1 };
-  Node mNode{ mContext, SettingsOfEntry() };
+  Node mNode{ mContext, tests::DaemonSettings() };
   std::vector<std::unique_ptr<ScriptedServer>> mServers;
 
   Bed()
--- a/tests/unit/named_exchanges_test.cpp
+++ b/tests/unit/named_exchanges_test.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/exchange.hpp"
 
 #include "daemon/probes.hpp"
+#include "fixtures.hpp"
 #include "scripted_server.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -18,15 +19,6 @@
 
 namespace {
 
-Settings SettingsOfEntry()
-{
-  Settings out;
-  out.mName = "e1";
-  out.mAddress = "127.0.0.1";
-  out.mStore = "127.0.0.1:1";
-  return out;
-}
-
 /// The line by which a target repeats the name of an exchange.
 std::string NameIn(const std::string& aHead)
 {
@@ -47,7 +39,7 @@
 struct Bed
 {
   asio::io_context mContext{ 1 };
-  Node mNode{ mContext, SettingsOfEntry() };
+  Node mNode{ mContext, tests::DaemonSettings() };
   ScriptedServer mServer;
 
   explicit Bed(const tests::Script& aScript)
