--- a/testing/cluster/ports.hpp
+++ b/testing/cluster/ports.hpp
@@ -2,15 +2,19 @@
 
 /// Ports for test deployments.
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include <cstdint>
 #include <random>
-#include <set>
 #include <string>
-#include <utility>
+#include <vector>
 
 namespace guavaline::testing {
 
-/// Picks ports that are free on an address, none of them twice.
+/// Picks ports that are free on an address. They stay bound while the picker
+/// lives, so that neither another picker nor an outgoing connection takes them
+/// before they are listened on.
 class PortPicker
 {
 public:
@@ -19,7 +23,8 @@
 
 private:
   std::mt19937 mRandom;
-  std::set<std::pair<std::string, std::uint16_t>> mPicked;
+  boost::asio::io_context mContext;
+  std::vector<boost::asio::ip::tcp::acceptor> mHeld;
 };
 
 } // namespace guavaline::testing
