Interfaces of client accounts and contended services

A report of a target's load may carry how fast its host is; services whose targets say so, and all services where the configuration has client accounts, count as contended. Nothing uses that yet.

--- a/include/guavaline/placement/load.hpp
+++ b/include/guavaline/placement/load.hpp
@@ -6,6 +6,7 @@
 #include <guavaline/core/time.hpp>
 
 #include <cstdint>
+#include <optional>
 
 namespace guavaline {
 
@@ -31,6 +32,9 @@
   std::uint32_t mRunning = 0;
   std::uint32_t mWaiting = 0;
   std::uint32_t mSlots = 0;
+  /// How long runs take on the target's host at present, in percent of the
+  /// usual; nothing where the target does not say.
+  std::optional<std::uint32_t> mRunPercent;
 };
 
 /// Takes in a report.
--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -48,6 +48,7 @@
   /// The view of the targets is old: any of them may have become cold.
   bool mUnseen = false;
   ShiftBound mShiftBound;
+  bool mContended = false; ///< The service's targets may be short of room.
 };
 
 /// Why there is no target.
--- a/include/guavaline/routing/routes.hpp
+++ b/include/guavaline/routing/routes.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -44,6 +45,18 @@
   std::uint32_t mMaxTargets = 1;     ///< Targets that one attempt may reach.
   bool mAffinity = false;            ///< Targets keep state of an object warm.
   std::vector<std::string> mRegions; ///< Allowed regions; empty for all.
+  bool mPublic = false;              ///< Callers need no key.
+};
+
+/// A client account: who calls, with which keys and how much.
+struct ClientAccount
+{
+  std::string mName;
+  std::vector<std::string> mKeys;
+  std::optional<std::uint32_t> mPriority; ///< Goes before the route's.
+  double mPerSecond = 0; ///< Requests over all entries; 0 for no limit.
+  double mBurst = 0;     ///< Requests on top of the rate.
+  std::vector<std::string> mRegions; ///< Allowed regions; empty for all.
 };
 
 /// What holds for all targets of a service.
@@ -68,6 +81,7 @@
   std::uint64_t mVersion = 0; ///< 0 where none is held.
   std::vector<Route> mRoutes;
   std::map<std::string, ServicePolicy> mServices;
+  std::map<std::string, ClientAccount> mAccounts; ///< By name.
   CallerLimits mLimits;
 };
 
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 clang-format --dry-run --Werror "${files[@]}"
 
 # Decision slices do no I/O.
-decisions='core codec configuration admission steering targets attempts lookup membership metrics crashes routing registry placement roster views'
+decisions='core codec configuration admission steering targets attempts lookup membership metrics crashes routing registry placement roster views accounts'
 for slice in $decisions; do
   if grep -rnE '#include <(boost/(asio|beast)|nghttp2|spdlog|sys/|unistd)' \
        "src/$slice" "include/guavaline/$slice" 2>/dev/null; then
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -72,6 +72,8 @@
   CrashTable mCrashTable;
   CrashEvidence mUntoldCrashes;          ///< Not told to other entries yet.
   std::vector<TargetPtr> mBrokenTargets; ///< Those that broke runs lately.
+  /// Services whose targets report how fast their hosts are at present.
+  std::set<std::string> mSpeedReporting;
   Metrics mMetrics;
 
   HttpClient mTargetClient;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -1,5 +1,6 @@
 /// The path of a caller's request: route, targets, answer.
 
+#include "entry/contention.hpp"
 #include "entry/request_state.hpp"
 
 #include <guavaline/admission/planned_stop.hpp>
@@ -68,7 +69,8 @@
     CountSending(aEntry.mRoster, aNow),
     IsUnseen(aEntry, aNow),
     ShiftBoundOf(aEntry.mRegionShare,
-                 std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow)
+                 std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow),
+    IsContended(aEntry, aState.mService)
   };
   const PlacementRequest request{ aState.mRoute, aState.mService,
                                   aState.mKey,   aState.mDeadline,
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -133,6 +133,9 @@
   const auto load = aEntry.mPlatform.mReadLoad(
     FindHeader(aAnswer.mHeaders, aEntry.mPlatform.mHeaders.mLoad));
   if (load) {
+    if (load->mRunPercent) {
+      aEntry.mSpeedReporting.insert(aState.mService);
+    }
     // The own request is still counted in flight here.
     NoteReport(aTarget.mLoad, *load, aTarget.mLoad.mOwn - 1, aNow);
   }
--- a/src/entry/settings.hpp
+++ b/src/entry/settings.hpp
@@ -25,6 +25,11 @@
   double mColdSlack = 5;    ///< ... and requests a second on top of it.
   double mMaxShift = 0.15;  ///< Requests that may change region in 2 s.
   Millis mUnrest{ 4'000 };  ///< After a disturbance; bounds hold in calm.
+  /// Window in which the requests of a client account are counted against its
+  /// limit, and what they may exceed it by.
+  Millis mAccountWindow{ 5'000 };
+  double mAccountOver = 0.1; ///< Part of the limit, ...
+  double mAccountSlack = 20; ///< ... and requests on top of it.
 
   bool operator==(const EntryBounds&) const = default;
 };
