--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -4,6 +4,7 @@
 #include "entry/crashes.hpp"
 #include "entry/limits.hpp"
 #include "entry/rate_limits.hpp"
+#include "entry/spares.hpp"
 
 #include <guavaline/admission/planned_stop.hpp>
 #include <guavaline/core/hash.hpp>
@@ -128,6 +129,7 @@
     PushWarmNews(aEntry);
     TellCrashes(aEntry);
     aEntry.mTargetClient.DropExpired(now);
+    KeepSpareConnections(aEntry, now);
     if (now - logged >= kSummaryLogPeriod) {
       LogSplits(aEntry);
       LogLimits(aEntry, now);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -501,6 +501,16 @@
            [](PooledConnection& a) { return StillQuiet(a.mStream.socket()); });
 }
 
+bool HttpClient::HasFresh(const Endpoint& aEndpoint, Millis aWithin,
+                          TimePoint aNow) const
+{
+  const auto it = mPool->mIdle.find(HttpPoolState::Key(aEndpoint));
+  // The connection proven live last comes first.
+  return it != mPool->mIdle.end() && !it->second.empty() &&
+         aNow - it->second.front().mProven <= aWithin &&
+         aNow - it->second.front().mProven < it->second.front().mIdleLimit;
+}
+
 void HttpClient::SetMostBuffered(std::uint64_t aBytes)
 {
   mPool->mBuffered.mMost = aBytes;
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -102,6 +102,10 @@
   /// @returns a result without a response
   [[nodiscard]] boost::asio::awaitable<ExchangeResult> OpenSpare(
     Endpoint aEndpoint, ExchangeOptions aOptions);
+  /// @returns true where a kept connection to a peer was proven live within a
+  ///          time and the peer still keeps it
+  [[nodiscard]] bool HasFresh(const Endpoint& aEndpoint, Millis aWithin,
+                              TimePoint aNow) const;
   /// @returns true where a kept connection to a peer is still open
   [[nodiscard]] bool HasOpen(const Endpoint& aEndpoint) const;
 
