Client accounts: read them and check each request

The platform's folder reads accounts and public routes; an account that cannot be read makes the configuration unreadable. An entry indexes the keys of each configuration. Where it has accounts, a request needs a known key unless its route is public (401, or 503 while the view is unconfirmed), runs in the regions of route and account with the account's priority, and reaches the target with the account's name in place of the key. request_ended and the counter account_requests name the account.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -15,7 +15,7 @@
   fi
 done
 # Names of the platform's wire stay in its folder.
-wire='X-Server-Seal|Server-Limit|Server-Leaving|Store-Era|X-Target-Instance|X-Affinity-Key|X-Not-Executed|X-Deadline-Ms|X-Backend-Load|X-Instance-Id|cold_remaining|edge_addresses|resource_type|weighted_services|path_prefix|allowed_regions|target_latency|max_attempts|/objects/'
+wire='X-Server-Seal|Server-Limit|Server-Leaving|Store-Era|X-Target-Instance|X-Affinity-Key|X-Not-Executed|X-Deadline-Ms|X-Backend-Load|X-Instance-Id|cold_remaining|edge_addresses|resource_type|weighted_services|path_prefix|allowed_regions|target_latency|max_attempts|X-Tenant|api_keys|/objects/'
 if git ls-files src include | grep -vE '^src/platform/' | xargs grep -nE "$wire"; then
   echo "a name of the platform's wire outside platform/"
   exit 1
--- a/src/entry/adapter.hpp
+++ b/src/entry/adapter.hpp
@@ -62,6 +62,8 @@
   std::string mLeaving;
   /// On refusals: how long the target wants nothing from this entry.
   std::string mPause;
+  std::string mCredentials; ///< On requests: the caller's key.
+  std::string mAccount;     ///< Towards targets: the client account's name.
 };
 
 /// A caller's question for entries.
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -52,6 +52,11 @@
     std::chrono::duration_cast<std::chrono::microseconds>(took));
   aEntry.mMetrics.Count("requests", "route=\"" + aState.mRoute.mName +
                                       "\",reason=\"" + aReason + "\"");
+  if (!aState.mAccount.empty()) {
+    aEntry.mMetrics.Count("account_requests", "account=\"" + aState.mAccount +
+                                                "\",reason=\"" + aReason +
+                                                "\"");
+  }
   NoteSplitEnd(aEntry, aState);
   const auto& view = aEntry.mFollows[ObjectKind::Targets].mView;
   const auto viewAge = std::chrono::duration_cast<Millis>(
@@ -66,6 +71,7 @@
     { { "request", aState.mId },
       { "route", aState.mRoute.mName },
       { "service", aState.mService },
+      { "account", aState.mAccount },
       { "status", std::to_string(aStatus) },
       { "reason", aReason },
       { "object", HexId(aState.mKey) },
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -11,6 +11,7 @@
 #include "http/server.hpp"
 #include "peers/peer_link.hpp"
 
+#include <guavaline/accounts/accounts.hpp>
 #include <guavaline/admission/budgets.hpp>
 #include <guavaline/crashes/crash_table.hpp>
 #include <guavaline/metrics/metrics.hpp>
@@ -54,6 +55,7 @@
   std::mt19937_64 mRandom;
 
   RoutingTable mRouting;
+  AccountIndex mAccountIndex; ///< Of the configuration in force.
   TargetRegistry mRegistry;
   Roster mRoster;
   std::set<std::string> mLiveEntries; ///< Of the region, as last logged.
--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -1,6 +1,7 @@
 /// Keeps views of the store's objects: a listing, then watches. While the
 /// store cannot be reached the last accepted view stays in force.
 
+#include "entry/accounts.hpp"
 #include "entry/crashes.hpp"
 #include "entry/limits.hpp"
 
@@ -58,7 +59,9 @@
   Log(LogLevel::Info, "configuration_accepted",
       { { "version", std::to_string(table->mVersion) },
         { "before", std::to_string(aEntry.mRouting.mVersion) },
-        { "routes", std::to_string(table->mRoutes.size()) } });
+        { "routes", std::to_string(table->mRoutes.size()) },
+        { "accounts", std::to_string(table->mAccounts.size()) } });
+  TakeAccounts(aEntry, *table);
   aEntry.mRouting = std::move(*table);
   ForgetGoneRoutes(aEntry);
   aEntry.mCallerServer.SetLimits(
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -1,5 +1,6 @@
 /// The path of a caller's request: route, targets, answer.
 
+#include "entry/accounts.hpp"
 #include "entry/contention.hpp"
 #include "entry/request_state.hpp"
 
@@ -261,6 +262,12 @@
   }
   state.mRoute = *route;
   auto limit = TimeLeft(aEntry.mPlatform.mHeaders, state.mRequest);
+  state.mDeadline = state.mArrived + limit;
+  if (auto refused = CheckAccount(aEntry, state, now)) {
+    co_return finish(std::move(refused->mResponse), refused->mReason);
+  }
+  // After the check of the account: callers without a key must not affect the
+  // estimate of the time limit that a route's callers start with.
   state.mReturning = IsReturning(aEntry, *route, limit);
   if (route->mTimeout.count() > 0) {
     limit = std::min(limit, route->mTimeout);
--- a/src/entry/request_state.hpp
+++ b/src/entry/request_state.hpp
@@ -15,7 +15,8 @@
   HttpRequest mRequest;
   Route mRoute; ///< As it stood when the request came.
   std::string mService;
-  std::string mAccount; ///< The caller's; empty where there is none.
+  std::string mAccount;   ///< The caller's; empty where there is none.
+  bool mHidesKey = false; ///< The configuration had client accounts.
   std::string mId;
   std::uint64_t mKey = 0;
   std::uint64_t mDigest = 0;
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -1,5 +1,6 @@
 /// One exchange with a target, and what it teaches.
 
+#include "entry/accounts.hpp"
 #include "entry/crashes.hpp"
 #include "entry/rate_limits.hpp"
 #include "entry/request_state.hpp"
@@ -69,13 +70,16 @@
   out.mTarget = aState.mRequest.mTarget;
   out.mBody = aState.mRequest.mBody;
   for (const auto& it : aState.mRequest.mHeaders) {
-    if (IsForwarded(names, it)) {
+    if (IsForwarded(names, it) && !IsHiddenFromTargets(aEntry, aState, it)) {
       out.mHeaders.push_back(it);
     }
   }
   const auto left = std::chrono::duration_cast<Millis>(aState.mDeadline - aNow);
   out.mHeaders.push_back({ names.mTimeLeft, MillisText(left) });
   out.mHeaders.push_back({ names.mTargetId, aTarget.mRegistration.mId });
+  if (!aState.mAccount.empty()) {
+    out.mHeaders.push_back({ names.mAccount, aState.mAccount });
+  }
   return out;
 }
 
--- a/tests/unit/entry_fixtures.cpp
+++ b/tests/unit/entry_fixtures.cpp
@@ -12,8 +12,8 @@
 detail::PlatformAdapter PlainAdapter()
 {
   detail::PlatformAdapter out;
-  out.mHeaders = { "Id",    "Time-Left", "Target",  "Not-Run", "Load",
-                   "Proof", "Limit",     "Leaving", "Pause" };
+  out.mHeaders = { "Id",    "Time-Left", "Target", "Not-Run", "Load",   "Proof",
+                   "Limit", "Leaving",   "Pause",  "Key",     "Account" };
   out.mObjectOf = [](const detail::HttpRequest&) {
     return std::string("object");
   };
--- a/tests/unit/entry_fixtures.hpp
+++ b/tests/unit/entry_fixtures.hpp
@@ -9,8 +9,8 @@
 namespace guavaline::tests {
 
 /// @returns an adapter whose fields are named "Id", "Time-Left", "Target",
-///          "Not-Run", "Load", "Proof", "Limit", "Leaving" and "Pause"; the
-///          last one in milliseconds
+///          "Not-Run", "Load", "Proof", "Limit", "Leaving", "Pause" (in
+///          milliseconds), "Key" and "Account"
 detail::PlatformAdapter PlainAdapter();
 
 /// Brings a route "a.example/x/" to "service" into force, with fresh views.
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -203,6 +203,60 @@
     ReadRouting(MakeObject(With(text, "\"/x/\"", "7"))).has_value());
 }
 
+namespace {
+
+constexpr const char* kAccounts =
+  R"({"version":"0000001b","resources":[)"
+  R"({"resource_type":"routes","metadata":{"name":"r-1"},"spec":{)"
+  R"("host":"a.example","path_prefix":"/x/","service":"s1","public":true}},)"
+  R"({"resource_type":"tenants","metadata":{"name":"plain"},"spec":{)"
+  R"("api_keys":[],"priority":null}},)"
+  R"({"resource_type":"tenants","metadata":{"name":"acme"},"spec":{)"
+  R"("api_keys":["k1","k2"],"priority":0,"requests_per_s":12.5,"burst":40,)"
+  R"("allowed_regions":["lowell"]}}]})";
+
+} // namespace
+
+Test(platform, client_accounts_and_public_routes_are_read)
+{
+  const auto table = ReadRouting(MakeObject(kAccounts));
+  cr_assert(table.has_value());
+  cr_assert(table->mRoutes.at(0).mPublic);
+  cr_assert_eq(table->mAccounts.size(), 2U);
+  const auto& account = table->mAccounts.at("acme");
+  cr_assert_eq(account.mName, "acme");
+  cr_assert_eq(account.mKeys, std::vector<std::string>({ "k1", "k2" }));
+  cr_assert_eq(account.mPriority, 0U);
+  cr_assert_eq(account.mPerSecond, 12.5);
+  cr_assert_eq(account.mBurst, 40.0);
+  cr_assert_eq(account.mRegions, std::vector<std::string>({ "lowell" }));
+  const auto& plain = table->mAccounts.at("plain");
+  cr_assert(plain.mKeys.empty() && plain.mRegions.empty());
+  cr_assert_not(plain.mPriority.has_value());
+  cr_assert_eq(plain.mPerSecond, 0.0);
+  // Only true makes a route public.
+  const auto text = With(kAccounts, "\"public\":true", "\"public\":\"yes\"");
+  cr_assert_not(ReadRouting(MakeObject(text))->mRoutes.at(0).mPublic);
+}
+
+// Guards against an account of which a restriction is read as absent, and
+// against names that break a header or a metric's label.
+Test(platform, an_unreadable_account_makes_the_configuration_unreadable)
+{
+  const std::string text(kAccounts);
+  for (const auto& it :
+       { With(text, R"(["k1","k2"])", R"("k1")"), With(text, "\"k2\"", "2"),
+         With(text, R"(["lowell"])", R"("lowell")"),
+         With(text, R"(["lowell"])", "[null]"), With(text, "12.5", "\"12.5\""),
+         With(text, "12.5", "-1"), With(text, "40", "true"),
+         With(text, "\"priority\":0", "\"priority\":-1"),
+         With(text, "\"priority\":0", "\"priority\":\"0\""),
+         With(text, "acme", ""), With(text, "acme", "a\\r\\nb"),
+         With(text, "acme", "plain"), With(text, "\"acme\"", "7") }) {
+    cr_assert_not(ReadRouting(MakeObject(it)).has_value(), "%s", it.c_str());
+  }
+}
+
 Test(platform, load_object_and_look_up_are_read)
 {
   const auto load = ReadLoad("3,1,8");
