--- a/tests/unit/accounts_forwarding_test.cpp
+++ b/tests/unit/accounts_forwarding_test.cpp
@@ -44,6 +44,14 @@
       target.mFailureDomain = domain;
       TakeRegistration(mEntry.mRegistry, target, Clock::now());
     }
+    // A configuration sets the limits of a server that listens.
+    cr_assert(mEntry.mCallerServer
+                .Listen(mContext, "127.0.0.1", 0,
+                        [](HttpRequest) -> asio::awaitable<HttpResponse> {
+                          co_return HttpResponse{};
+                        },
+                        {})
+                .empty());
     mNext = mEntry.mRouting;
     if (aAccounts) {
       auto& account = mNext.mAccounts["acme"];
@@ -138,6 +146,7 @@
   }
   cr_assert_eq(bed.Runs(), 0);
   cr_assert(bed.Counted("reason=\"unknown_key\"} 4\n"));
+  cr_assert_not(bed.Counted("secret") || bed.Counted("other"));
 }
 
 // Guards against a final 401 from an entry that may not know a new key yet.
