Entries share the limits of client accounts

A request above its account's limit gets 429 with Retry-After and reason account_limit; one that no target may have run is given back.

--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -11,6 +11,7 @@
 #include "http/server.hpp"
 #include "peers/peer_link.hpp"
 
+#include <guavaline/admission/account_limits.hpp>
 #include <guavaline/admission/budgets.hpp>
 #include <guavaline/crashes/crash_table.hpp>
 #include <guavaline/metrics/metrics.hpp>
@@ -74,6 +75,8 @@
   std::vector<TargetPtr> mBrokenTargets; ///< Those that broke runs lately.
   /// Services whose targets report how fast their hosts are at present.
   std::set<std::string> mSpeedReporting;
+  AccountLimits mAccountLimits;
+  std::uint64_t mAccountTurn = 0; ///< Reports on accounts so far.
   Metrics mMetrics;
 
   HttpClient mTargetClient;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -1,5 +1,6 @@
 /// The path of a caller's request: route, targets, answer.
 
+#include "entry/account_limits.hpp"
 #include "entry/contention.hpp"
 #include "entry/request_state.hpp"
 
@@ -15,6 +16,8 @@
 
 namespace {
 
+/// Status of requests above an account's limit.
+constexpr unsigned kTooMany = 429;
 /// Where a caller names no time limit.
 constexpr Millis kDefaultLimit{ 10'000 };
 /// Most sends of one attempt, counting those that the target refused.
@@ -277,11 +280,19 @@
                             "crashes"),
                      "crashes_targets");
   }
+  if (!state.mAccount.empty()) {
+    if (const auto wait = RefusedByAccountLimit(aEntry, state.mAccount, now)) {
+      auto refusal = Reject(aEntry, state, *wait, "account_limit");
+      refusal.mStatus = kTooMany;
+      co_return finish(std::move(refusal), "account_limit");
+    }
+  }
   state.mService = PickService(
     state.mRoute, state.mKey, aEntry.mRoutes[state.mRoute.mName].mSplit,
     SharingEntries(aEntry.mRoster), aEntry.mRandom());
   NotePicked(aEntry, state);
   auto last = co_await SendToTargets(aEntry, state);
+  GiveBackUnrun(aEntry, state, Clock::now());
   co_return finish(std::move(last.mResponse), last.mReason);
 }
 
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -203,6 +203,10 @@
     TakeCrashNews(aEntry, aBody);
     co_return std::string("{}");
   }
+  if (aKind == kAccountKind) {
+    TakeAccountNews(aEntry, aBody);
+    co_return std::string("{}");
+  }
   if (aKind == kLimitKind) {
     TakeLimitNews(aEntry, aBody);
     co_return std::string("{}");
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -4,6 +4,7 @@
 
 #include "codec/described.hpp"
 #include "crashes/crash_wire.hpp"
+#include "entry/account_limits.hpp"
 #include "entry/crashes.hpp"
 #include "entry/entry.hpp"
 #include "entry/rate_limits.hpp"
@@ -18,6 +19,7 @@
 inline constexpr const char* kWarmKind = "entry-warm-news";
 inline constexpr const char* kLimitKind = "entry-limit-news";
 inline constexpr const char* kCrashKind = "entry-crash-news";
+inline constexpr const char* kAccountKind = "entry-account-news";
 
 /// Objects that targets lately served, by WarmId.
 struct WarmNews
@@ -89,6 +91,9 @@
 BOOST_DESCRIBE_STRUCT(WarmNews, (), (mServed))
 BOOST_DESCRIBE_STRUCT(LimitNews, (), (mTarget, mStarted, mPerSecond, mAge))
 BOOST_DESCRIBE_STRUCT(LimitMessage, (), (mLimits))
+BOOST_DESCRIBE_STRUCT(AccountNews, (),
+                      (mFrom, mOfRegion, mPassOn, mEntries, mAge, mCounted,
+                       mAccounts, mAsked, mAdmitted))
 BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge, mEpoch))
 BOOST_DESCRIBE_STRUCT(RegionNews, (), (mEntries, mCounters, mRates, mLeaving))
 BOOST_DESCRIBE_STRUCT(CrashMessage, (), (mNews, mPassOn))
@@ -142,6 +147,10 @@
 /// Takes in what a peer saw of crashes.
 void TakeCrashNews(Entry& aEntry, const std::string& aBody);
 
+/// Tells the serving entries of the region what was counted of accounts; news
+/// to be passed on goes to one entry of each other region instead.
+void PushAccountNews(Entry& aEntry, const AccountNews& aNews, TimePoint aNow);
+
 /// Takes in which objects a peer had served.
 void TakeWarmNews(Entry& aEntry, const std::string& aBody);
 
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -261,6 +261,14 @@
   }
 }
 
+void PushAccountNews(Entry& aEntry, const AccountNews& aNews, TimePoint aNow)
+{
+  const auto peers = aNews.mPassOn
+                       ? OneOfEachRegion(aEntry.mRoster, aEntry.mRandom())
+                       : ServingPeers(aEntry.mRoster, aNow);
+  PushToAll(aEntry, peers, kAccountKind, ToJson(aNews));
+}
+
 void TakeWarmNews(Entry& aEntry, const std::string& aBody)
 {
   WarmNews news;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -1,6 +1,7 @@
 /// Start, stop and upkeep of an entry host.
 
 #include "daemon/event_loop.hpp"
+#include "entry/account_limits.hpp"
 #include "entry/crashes.hpp"
 #include "entry/limits.hpp"
 #include "entry/rate_limits.hpp"
@@ -124,6 +125,7 @@
     NoteLiveEntries(aEntry, now);
     ServeByLoad(aEntry, now);
     ShareLimits(aEntry, now);
+    ShareAccountLimits(aEntry, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
     TellCrashes(aEntry);
@@ -131,6 +133,7 @@
     if (now - logged >= kSummaryLogPeriod) {
       LogSplits(aEntry);
       LogLimits(aEntry, now);
+      LogAccountLimits(aEntry, now);
       logged = now;
     }
     FlushLog();
