--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -12,6 +12,7 @@
 #include "peers/peer_link.hpp"
 
 #include <guavaline/accounts/accounts.hpp>
+#include <guavaline/admission/account_limits.hpp>
 #include <guavaline/admission/budgets.hpp>
 #include <guavaline/crashes/crash_table.hpp>
 #include <guavaline/metrics/metrics.hpp>
@@ -76,6 +77,8 @@
   std::vector<TargetPtr> mBrokenTargets; ///< Those that broke runs lately.
   /// Services whose targets report how fast their hosts are at present.
   std::set<std::string> mSpeedReporting;
+  AccountLimits mAccountLimits;
+  std::uint64_t mAccountTurn = 0; ///< Reports on accounts so far.
   Metrics mMetrics;
 
   HttpClient mTargetClient;
