Placement: loads shared between entries, run percent, draw among equals

Cause: an entry estimates a target's load from its own answers, which are seconds old, and entries with the same stale view choose the same target. Change: placement/peer_load estimates a load from the in-flight counts and reports of all entries of the region; placement uses it for contended services, multiplies expected times by the run percent of the target's host, and draws among candidates that the estimates do not tell apart. Where a service is not contended, the results are those of before. ReportedLoad::mRunPercent has a default value: without it load_test did not compile (-Wmissing-field-initializers).

--- a/include/guavaline/placement/load.hpp
+++ b/include/guavaline/placement/load.hpp
@@ -7,9 +7,43 @@
 
 #include <cstdint>
 #include <optional>
+#include <vector>
 
 namespace guavaline {
 
+/// Requests that another entry of the region has in flight at a target.
+struct PeerFlights
+{
+  std::uint64_t mEntry = 0; ///< A number that tells entries apart.
+  std::uint32_t mInFlight = 0;
+  TimePoint mHeard{};
+};
+
+/// What one answer reported of a target.
+struct LoadReport
+{
+  std::uint32_t mRequests = 0;   ///< Running and waiting.
+  std::uint32_t mOwn = 0;        ///< Of the entry that got the answer.
+  std::uint32_t mRunPercent = 0; ///< 0 where the target did not say.
+  TimePoint mAt{};
+};
+
+/// Load of a target as the entries of a region know it together; see
+/// peer_load.hpp. Kept up to date for contended services only.
+struct SharedLoad
+{
+  std::vector<PeerFlights> mPeers;
+  /// Average of the reported requests that no entry of the region has in
+  /// flight. Below zero where the region's figures run ahead of the reports.
+  double mRestMean = 0;
+  TimePoint mReported{}; ///< The newest report, of any entry of the region.
+  double mRunFactor = 1; ///< Run time at present over the usual.
+  TimePoint mRunFactorAt{};
+  LoadReport mOwnReport;      ///< The newest one that this entry got itself.
+  std::uint32_t mToldOwn = 0; ///< In-flight count that was sent last.
+  TimePoint mTold{};
+};
+
 /// Load of one target as one entry sees it.
 struct TargetLoad
 {
@@ -24,6 +58,7 @@
   std::uint32_t mFailures = 0; ///< Failures to connect or answer in a row.
   TimePoint mEjectedUntil{};
   TimePoint mLastSend{}; ///< When the last request went to it.
+  SharedLoad mShared;
 };
 
 /// Load that an answer reports.
@@ -34,7 +69,7 @@
   std::uint32_t mSlots = 0;
   /// How long runs take on the target's host at present, in percent of the
   /// usual; nothing where the target does not say.
-  std::optional<std::uint32_t> mRunPercent;
+  std::optional<std::uint32_t> mRunPercent = std::nullopt;
 };
 
 /// Takes in a report.
--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -25,6 +25,7 @@
   TimePoint mDeadline;
   std::set<std::string> mExcluded; ///< Ids of targets that failed it.
   bool mReturning = false;         ///< Its caller was refused before.
+  std::uint64_t mDraw = 0;         ///< Random; decides among equal candidates.
 };
 
 /// Requests a second that a cold target bears, from all entries together.
@@ -49,6 +50,8 @@
   bool mUnseen = false;
   ShiftBound mShiftBound;
   bool mContended = false; ///< The service's targets may be short of room.
+  /// When another entry of the region last sent its figures on loads.
+  TimePoint mLoadsHeard{};
 };
 
 /// Why there is no target.
@@ -75,6 +78,9 @@
   bool mPrefersFar = false; ///< Would be, without the bound on shifts.
   bool mStrict = false;     ///< The bound on shifts was strict.
   Millis mClearsIn{ 0 };    ///< When refused: when there should be room.
+  /// Part of mWait and mRun that comes of the present speed of the target's
+  /// host.
+  double mRunFactor = 1;
 };
 
 /// Chooses a target.
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,6 +1,7 @@
 #include <guavaline/placement/placement.hpp>
 
 #include <guavaline/core/hash.hpp>
+#include <guavaline/placement/peer_load.hpp>
 
 #include <algorithm>
 #include <array>
@@ -30,6 +31,11 @@
 /// registrations say so.
 constexpr Millis kReturnTime{ 3'000 };
 constexpr double kMsPerSecond = 1'000;
+/// Requests by which the estimate of a target's load may be off: about what
+/// the other entries send it between two messages on loads.
+constexpr double kUncertainRequests = 1;
+/// Weight in a draw of a target without a free slot.
+constexpr double kFullWeight = 0.25;
 
 struct Candidate
 {
@@ -93,6 +99,8 @@
   double mAhead = 0; ///< Requests that would wait before it.
   double mMaxAhead = 0;
   double mCostMs = 0;
+  double mFree = 0;         ///< Slots that are expected to be free.
+  double mPerRequestMs = 0; ///< Wait that one more request at it makes.
 };
 
 Forecast ForecastAt(const PlacementView& aView,
@@ -109,13 +117,20 @@
     choice.mWarmth = aFirstOwner ? Warmth::Likely : Warmth::Unlikely;
   }
   const double slots = std::max(1U, registration.mSlots);
-  const double slowness = Slowness(aTarget.mLoad, aNow);
+  choice.mRunFactor = aView.mContended ? RunFactor(aTarget.mLoad, aNow) : 1;
+  const double slowness = Slowness(aTarget.mLoad, aNow) * choice.mRunFactor;
   const auto run = ExpectedRun(aView.mRunTimes, choice.mWarmth);
   const double runMs = static_cast<double>(run.count()) * slowness;
-  out.mAhead = std::max(0.0, ExpectedLoad(aTarget.mLoad, aNow) + 1 - slots);
+  const double load =
+    aView.mContended
+      ? SharedExpectedLoad(aTarget.mLoad, aView.mLoadsHeard, aNow)
+      : ExpectedLoad(aTarget.mLoad, aNow);
+  out.mFree = slots - load;
+  out.mAhead = std::max(0.0, load + 1 - slots);
   const double likely =
     static_cast<double>(ExpectedRun(aView.mRunTimes, Warmth::Likely).count());
   const double waitMs = out.mAhead * likely * slowness / slots;
+  out.mPerRequestMs = likely * slowness / slots;
   out.mMaxAhead = slots * WaitingPart(aRequest);
   choice.mRoundTrip =
     RoundTripTo(aView.mTrips, registration.mFailureDomain, aTarget.mRegion);
@@ -228,6 +243,47 @@
   }
 };
 
+/// @returns true where the estimates do not tell which of two candidates
+///          serves a request first
+bool IsNearEqual(const Forecast& aBest, const Forecast& aOther) noexcept
+{
+  return aOther.mChoice.mWarmth == aBest.mChoice.mWarmth &&
+         aOther.mAhead <= aOther.mMaxAhead &&
+         aOther.mCostMs - aBest.mCostMs <=
+           kUncertainRequests *
+             std::max(aBest.mPerRequestMs, aOther.mPerRequestMs);
+}
+
+/// Replaces the best candidate by a random one of those that are as good as
+/// it by the estimates, weighted by free slots. Entries with the same stale
+/// view would otherwise all choose the same target. Where the best one has free
+/// slots beyond the uncertainty, requests stay with it: its object is warm
+/// there, and no other target has to keep a copy.
+void DrawNearEqual(Best& aBest, const std::vector<Forecast>& aForecasts,
+                   std::uint64_t aDraw)
+{
+  if (!aBest.mBest || aForecasts.size() < 2 ||
+      aBest.mBest->mFree >= 1 + kUncertainRequests) {
+    return;
+  }
+  const auto best = *aBest.mBest;
+  const auto weight = [&](const Forecast& a) {
+    return IsNearEqual(best, a) ? std::max(kFullWeight, a.mFree) : 0;
+  };
+  double left = 0;
+  for (const auto& it : aForecasts) {
+    left += weight(it);
+  }
+  left *= static_cast<double>(aDraw >> 11U) * 0x1p-53;
+  for (const auto& it : aForecasts) {
+    left -= weight(it);
+    if (left < 0) {
+      aBest.mBest = it;
+      return;
+    }
+  }
+}
+
 /// @param aFar  the owners are of other regions
 template<std::size_t N>
 Best BestOf(const PlacementView& aView, const PlacementRequest& aRequest,
@@ -235,10 +291,19 @@
             bool aFar, TimePoint aNow)
 {
   Best out;
+  std::vector<Forecast> forecasts;
   const auto consider = [&](LiveTarget& aTarget, bool aFirst) {
     auto forecast = ForecastAt(aView, aRequest, aTarget, aFirst, aNow);
     forecast.mChoice.mFar = aFar;
     out.Consider(forecast);
+    // An owner that is known to be warm comes twice.
+    const bool listed =
+      std::any_of(forecasts.begin(), forecasts.end(), [&](const Forecast& a) {
+        return a.mChoice.mTarget == forecast.mChoice.mTarget;
+      });
+    if (aView.mContended && !listed) {
+      forecasts.push_back(forecast);
+    }
   };
   for (std::size_t n = 0; n < N; ++n) {
     if (aOwners.mBest[n].mTarget != nullptr) {
@@ -250,6 +315,7 @@
       consider(*it, false);
     }
   }
+  DrawNearEqual(out, forecasts, aRequest.mDraw);
   return out;
 }
 
--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -1,4 +1,5 @@
 #include <guavaline/placement/load.hpp>
+#include <guavaline/placement/peer_load.hpp>
 #include <guavaline/placement/service_time.hpp>
 
 #include <criterion/criterion.h>
@@ -91,3 +92,83 @@
   NoteServed(first, id, kNow + 10s);
   cr_assert_eq(TakeUntold(first).size(), 1U);
 }
+
+// Guards against an estimate as old as the last own answer: the other entries'
+// requests count at once, and no longer than the entry that sent them is heard.
+Test(load, the_regions_requests_in_flight_count_while_their_entry_is_heard)
+{
+  TargetLoad load;
+  load.mOwn = 2;
+  HearFlights(load, 1, 3, kNow);
+  HearFlights(load, 2, 1, kNow);
+  cr_assert_float_eq(SharedExpectedLoad(load, kNow, kNow), 6, 0.01);
+  HearFlights(load, 1, 0, kNow + 200ms);
+  cr_assert_float_eq(SharedExpectedLoad(load, kNow, kNow + 200ms), 3, 0.01);
+  cr_assert_float_eq(SharedExpectedLoad(load, kNow + 1s, kNow + 1'100ms), 2,
+                     0.01);
+}
+
+// Guards against other entries of the region that are counted twice, and
+// against requests of other regions that are not counted.
+Test(load, reports_tell_of_other_regions_only)
+{
+  TargetLoad load;
+  load.mOwn = 1;
+  HearFlights(load, 1, 2, kNow);
+  for (int n = 1; n <= 40; ++n) {
+    const auto now = kNow + Millis(10 * n);
+    // One entry's report says that three requests are not of the region.
+    HearReport(load, 1, { 6, 2, 0, now }, now);
+  }
+  const auto now = kNow + 400ms;
+  cr_assert_float_eq(SharedExpectedLoad(load, now, now), 6, 0.1);
+  // An older report changes nothing.
+  HearReport(load, 2, { 60, 0, 0, kNow }, now);
+  cr_assert_float_eq(SharedExpectedLoad(load, now, now), 6, 0.1);
+}
+
+// Guards against a target that counts as idle where no entry is heard.
+Test(load, without_fresh_figures_the_own_estimate_stands)
+{
+  TargetLoad load;
+  NoteReport(load, { 5, 3, 6 }, 0, kNow);
+  NoteSharedReport(load, { 5, 3, 6 }, 0, kNow);
+  const auto later = kNow + 1'001ms;
+  cr_assert_eq(SharedExpectedLoad(load, {}, later), ExpectedLoad(load, later));
+}
+
+// Guards against hosts that are taken as slow long after they are fast again,
+// and against values that no host can mean.
+Test(load, the_run_percent_fades_and_absurd_ones_are_left_out)
+{
+  TargetLoad load;
+  NoteSharedReport(load, { 1, 0, 6, 250 }, 0, kNow);
+  cr_assert_float_eq(RunFactor(load, kNow), 2.5, 0.01);
+  cr_assert_float_eq(RunFactor(load, kNow + 300ms), 1.75, 0.01);
+  NoteSharedReport(load, { 1, 0, 6, 0 }, 0, kNow + 1ms);
+  NoteSharedReport(load, { 1, 0, 6, 10'001 }, 0, kNow + 2ms);
+  HearReport(load, 1, { 1, 0, 4'000'000'000, kNow + 3ms }, kNow + 3ms);
+  cr_assert_float_eq(RunFactor(load, kNow + 300ms), 1.75, 0.01);
+  cr_assert_not(UsablePercent(0).has_value());
+  cr_assert_not(UsablePercent(10'001).has_value());
+  cr_assert_eq(UsablePercent(10'000), 10'000U);
+  cr_assert_eq(AtUsualSpeed(500ms, 250), 200ms);
+  cr_assert_eq(AtUsualSpeed(500ms, std::nullopt), 500ms);
+}
+
+// Guards against messages without news, and against in-flight counts that lapse
+// at the others because they do not change.
+Test(load, other_entries_are_told_of_changes_and_of_long_runs)
+{
+  TargetLoad load;
+  cr_assert_not(HasLoadNews(load, kNow));
+  load.mOwn = 1;
+  cr_assert(HasLoadNews(load, kNow));
+  MarkTold(load, kNow);
+  cr_assert_not(HasLoadNews(load, kNow + 200ms));
+  cr_assert(HasLoadNews(load, kNow + 600ms));
+  MarkTold(load, kNow + 600ms);
+  NoteSharedReport(load, { 1, 0, 6 }, 0, kNow + 700ms);
+  cr_assert(HasNewReport(load));
+  cr_assert(HasLoadNews(load, kNow + 700ms));
+}
