Entry: exchange of targets' loads between the entries of a region

Cause: placement needs the loads that other entries see, and what answers report of the speed of hosts. Change: entry-load-news messages each 200 ms for contended services, learning from the run percent, counters, and a target_loads line in the summary. Result: load_news_test (two entries over loopback) passes: reports and in-flight counts arrive; unknown targets and earlier lives are left out; malformed messages change nothing; 64 targets a message.

--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -6,6 +6,7 @@
 
 #include "daemon/log.hpp"
 #include "entry/adapter.hpp"
+#include "entry/load_news.hpp"
 #include "entry/settings.hpp"
 #include "entry/splits.hpp"
 #include "http/server.hpp"
@@ -74,6 +75,7 @@
   std::vector<TargetPtr> mBrokenTargets; ///< Those that broke runs lately.
   /// Services whose targets report how fast their hosts are at present.
   std::set<std::string> mSpeedReporting;
+  LoadExchange mLoads;
   Metrics mMetrics;
 
   HttpClient mTargetClient;
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -70,11 +70,16 @@
     IsUnseen(aEntry, aNow),
     ShiftBoundOf(aEntry.mRegionShare,
                  std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow),
-    IsContended(aEntry, aState.mService)
+    IsContended(aEntry, aState.mService),
+    aEntry.mLoads.mHeard
   };
-  const PlacementRequest request{ aState.mRoute, aState.mService,
-                                  aState.mKey,   aState.mDeadline,
-                                  aState.mTried, aState.mReturning };
+  const PlacementRequest request{ aState.mRoute,
+                                  aState.mService,
+                                  aState.mKey,
+                                  aState.mDeadline,
+                                  aState.mTried,
+                                  aState.mReturning,
+                                  view.mContended ? aEntry.mRandom() : 0 };
   aState.mChoice = ChooseOwner(view, request, aNow);
 }
 
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -199,6 +199,12 @@
     TakeWarmNews(aEntry, aBody);
     co_return std::string("{}");
   }
+  if (aKind == kLoadKind) {
+    if (!HearLoadNews(aEntry, aBody, Clock::now())) {
+      co_return std::nullopt;
+    }
+    co_return std::string("{}");
+  }
   if (aKind == kCrashKind) {
     TakeCrashNews(aEntry, aBody);
     co_return std::string("{}");
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -17,6 +17,7 @@
 inline constexpr const char* kPushKind = "entry-view-news";
 inline constexpr const char* kWarmKind = "entry-warm-news";
 inline constexpr const char* kLimitKind = "entry-limit-news";
+inline constexpr const char* kLoadKind = "entry-load-news";
 inline constexpr const char* kCrashKind = "entry-crash-news";
 
 /// Objects that targets lately served, by WarmId.
@@ -25,6 +26,20 @@
   std::vector<std::uint64_t> mServed;
 };
 
+/// An entry's requests in flight at targets, and reports that it got from
+/// them. Lists of numbers, as a message goes out each 200 ms.
+struct LoadNews
+{
+  std::uint64_t mEntry = 0;             ///< The sender, by ShortId.
+  std::vector<std::uint64_t> mTargets;  ///< By LoadId.
+  std::vector<std::uint64_t> mInFlight; ///< One for each target.
+  /// Reports of the first of the targets.
+  std::vector<std::uint64_t> mRequests; ///< Running and waiting.
+  std::vector<std::uint64_t> mOwn;      ///< Of them, the sender's.
+  std::vector<std::uint64_t> mPercents; ///< Run time; 0 for none.
+  std::vector<std::uint64_t> mAges;     ///< Milliseconds.
+};
+
 /// What targets said of their rate limits.
 struct LimitMessage
 {
@@ -87,6 +102,9 @@
 };
 
 BOOST_DESCRIBE_STRUCT(WarmNews, (), (mServed))
+BOOST_DESCRIBE_STRUCT(LoadNews, (),
+                      (mEntry, mTargets, mInFlight, mRequests, mOwn, mPercents,
+                       mAges))
 BOOST_DESCRIBE_STRUCT(LimitNews, (), (mTarget, mStarted, mPerSecond, mAge))
 BOOST_DESCRIBE_STRUCT(LimitMessage, (), (mLimits))
 BOOST_DESCRIBE_STRUCT(ViewNews, (), (mKind, mRevision, mAge, mEpoch))
@@ -142,6 +160,22 @@
 /// Takes in what a peer saw of crashes.
 void TakeCrashNews(Entry& aEntry, const std::string& aBody);
 
+/// Sends a message to entries, without waiting for their answers.
+void PushToAll(Entry& aEntry, const std::vector<EntryRecord>& aPeers,
+               const char* aKind, const std::string& aBody);
+
+/// @returns a life of a target as messages on loads name it
+[[nodiscard]] std::uint64_t LoadId(const LiveTarget& aTarget) noexcept;
+
+/// Collects what has changed at contended services' targets since the last
+/// message, and marks it as sent.
+[[nodiscard]] LoadNews TakeLoadNews(Entry& aEntry, TimePoint aNow);
+
+/// Takes in another entry's loads. Targets and lives of targets that this entry
+/// does not know are left out.
+/// @returns false where the message is malformed
+bool HearLoadNews(Entry& aEntry, const std::string& aBody, TimePoint aNow);
+
 /// Takes in which objects a peer had served.
 void TakeWarmNews(Entry& aEntry, const std::string& aBody);
 
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -112,6 +112,8 @@
   }
 }
 
+} // namespace
+
 void PushToAll(Entry& aEntry, const std::vector<EntryRecord>& aPeers,
                const char* aKind, const std::string& aBody)
 {
@@ -121,8 +123,6 @@
   }
 }
 
-} // namespace
-
 std::vector<ViewNews> TellViews(const Entry& aEntry, TimePoint aNow)
 {
   std::vector<ViewNews> out;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -126,11 +126,13 @@
     ShareLimits(aEntry, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
+    PushLoadNews(aEntry, now);
     TellCrashes(aEntry);
     aEntry.mTargetClient.DropExpired(now);
     if (now - logged >= kSummaryLogPeriod) {
       LogSplits(aEntry);
       LogLimits(aEntry, now);
+      LogLoads(aEntry, now);
       logged = now;
     }
     FlushLog();
--- a/src/entry/send.cpp
+++ b/src/entry/send.cpp
@@ -1,11 +1,13 @@
 /// One exchange with a target, and what it teaches.
 
+#include "entry/contention.hpp"
 #include "entry/crashes.hpp"
 #include "entry/rate_limits.hpp"
 #include "entry/request_state.hpp"
 #include "entry/target_words.hpp"
 
 #include <guavaline/core/hash.hpp>
+#include <guavaline/placement/peer_load.hpp>
 
 #include <algorithm>
 
@@ -130,14 +132,20 @@
                  const HttpResponse& aAnswer, Millis aTook, TimePoint aNow)
 {
   const auto& choice = aState.mChoice;
+  std::optional<std::uint32_t> percent;
   const auto load = aEntry.mPlatform.mReadLoad(
     FindHeader(aAnswer.mHeaders, aEntry.mPlatform.mHeaders.mLoad));
   if (load) {
-    if (load->mRunPercent) {
+    percent = UsablePercent(load->mRunPercent);
+    if (percent) {
       aEntry.mSpeedReporting.insert(aState.mService);
     }
     // The own request is still counted in flight here.
-    NoteReport(aTarget.mLoad, *load, aTarget.mLoad.mOwn - 1, aNow);
+    const auto own = aTarget.mLoad.mOwn - 1;
+    NoteReport(aTarget.mLoad, *load, own, aNow);
+    if (IsContended(aEntry, aState.mService)) {
+      NoteSharedReport(aTarget.mLoad, *load, own, aNow);
+    }
   }
   if (aAnswer.mStatus >= 500 || IsUnproven(aEntry, aAnswer) ||
       IsUnprovenRefusal(aEntry, aAnswer)) {
@@ -147,12 +155,18 @@
   if (SaysNotRun(aEntry, aAnswer)) {
     return;
   }
-  const auto inTarget = std::max(Millis(1), aTook - choice.mRoundTrip);
+  // The time at the host's usual speed: a busy host must not make its target
+  // look slow afterwards, nor a route's runs look long.
+  const auto inTarget =
+    AtUsualSpeed(std::max(Millis(1), aTook - choice.mRoundTrip), percent);
   if (choice.mWait == Millis(0) && Slowness(aTarget.mLoad, aNow) < kSlowRun) {
     auto& record = aEntry.mRoutes[aState.mRoute.mName];
     NoteRun(record.mRunTimes[aState.mService], choice.mWarmth, inTarget);
   }
-  NoteAnswer(aTarget.mLoad, inTarget, choice.mWait + choice.mRun, aNow);
+  const auto expected = choice.mWait + choice.mRun;
+  NoteAnswer(aTarget.mLoad, inTarget,
+             percent ? WithoutFactor(expected, choice.mRunFactor) : expected,
+             aNow);
   NoteServed(aEntry.mWarm, WarmId(aState.mKey, aTarget.mLife), aNow);
   if (NoteGoodRun(aEntry, aState.mDigest, aNow)) {
     LogBounded(LogClass::Failure, LogLevel::Info, "crash_record_cleared",
