--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -6,6 +6,7 @@
 
 #include "daemon/log.hpp"
 #include "entry/adapter.hpp"
+#include "entry/load_news.hpp"
 #include "entry/settings.hpp"
 #include "entry/splits.hpp"
 #include "http/server.hpp"
@@ -79,6 +80,7 @@
   std::set<std::string> mSpeedReporting;
   AccountLimits mAccountLimits;
   std::uint64_t mAccountTurn = 0; ///< Reports on accounts so far.
+  LoadExchange mLoads;
   Metrics mMetrics;
 
   HttpClient mTargetClient;
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -129,6 +129,7 @@
     ShareAccountLimits(aEntry, now);
     ExpectRegions(aEntry);
     PushWarmNews(aEntry);
+    PushLoadNews(aEntry, now);
     TellCrashes(aEntry);
     aEntry.mTargetClient.DropExpired(now);
     KeepSpareConnections(aEntry, now);
@@ -136,6 +137,7 @@
       LogSplits(aEntry);
       LogLimits(aEntry, now);
       LogAccountLimits(aEntry, now);
+      LogLoads(aEntry, now);
       logged = now;
     }
     FlushLog();
