--- a/tests/unit/even_load_test.cpp
+++ b/tests/unit/even_load_test.cpp
@@ -135,7 +135,7 @@
     mEvents.push({ mNow + aTime, ++mOrder, std::move(aDo) });
   }
 
-  void Every(Millis aPeriod, Millis aFirst, std::function<void()> aDo)
+  void Every(Millis aPeriod, Millis aFirst, const std::function<void()>& aDo)
   {
     After(aFirst, [this, aPeriod, aDo] {
       if (mNow < kStart + kEnd) {
