Placement: latency goals in contended services

Cause: under a burst of twice the capacity nearly all requests were served late, since placement only knew the caller's time limit and the queues.

Change: placement/latency_goal decides whether a request ends within its goal, runs late in a free slot, or is refused (past_goal). Owners go before other warm targets while they end within the goal, and a second far owner is used while none does. The wait uses the mean of warm and cold runs, and the error of recent forecasts.

--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -25,6 +25,9 @@
   TimePoint mDeadline;
   std::set<std::string> mExcluded; ///< Ids of targets that failed it.
   bool mReturning = false;         ///< Its caller was refused before.
+  /// When its latency goal ends; nothing where it has none.
+  std::optional<TimePoint> mGoalEnd = std::nullopt;
+  bool mReturnsLate = false; ///< It returns, and its goal had passed before.
 };
 
 /// Requests a second that a cold target bears, from all entries together.
@@ -49,6 +52,10 @@
   bool mUnseen = false;
   ShiftBound mShiftBound;
   bool mContended = false; ///< The service's targets may be short of room.
+  /// Mean of the service's runs, warm and cold; 0 where none was measured.
+  Millis mMeanRun{ 0 };
+  /// By how much responses of the service lately came after their forecasts.
+  Millis mError{ 0 };
 };
 
 /// Why there is no target.
@@ -61,6 +68,7 @@
   Bound,    ///< There is room, but only beyond the bound on shifts between
             ///< regions.
   TooLate,  ///< It would not end before its deadline.
+  PastGoal, ///< It would end after its latency goal, and no slot is free.
 };
 
 struct PlacementChoice
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,6 +1,7 @@
 #include <guavaline/placement/placement.hpp>
 
 #include <guavaline/core/hash.hpp>
+#include <guavaline/placement/latency_goal.hpp>
 
 #include <algorithm>
 #include <array>
@@ -12,6 +13,10 @@
 /// Owners of an object in the entry's own region, and in all others.
 constexpr std::size_t kNearOwners = 2;
 constexpr std::size_t kFarOwners = 1;
+/// Further owner in other regions of a contended service, used while no owner
+/// ends within the goal. A small region whose load runs in others otherwise
+/// refuses requests of an object at one busy target while others have room.
+constexpr std::size_t kSpareFarOwners = 1;
 /// Part of a target's slots that may be waiting besides those running, for
 /// requests of the highest priority and for all others.
 constexpr double kMaxWaitingFirst = 1.0;
@@ -93,6 +98,9 @@
   double mAhead = 0; ///< Requests that would wait before it.
   double mMaxAhead = 0;
   double mCostMs = 0;
+  double mFree = 0; ///< Slots that are free now.
+  double mSlots = 1;
+  GoalFit mFit = GoalFit::InTime;
 };
 
 Forecast ForecastAt(const PlacementView& aView,
@@ -117,6 +125,8 @@
     static_cast<double>(ExpectedRun(aView.mRunTimes, Warmth::Likely).count());
   const double waitMs = out.mAhead * likely * slowness / slots;
   out.mMaxAhead = slots * WaitingPart(aRequest);
+  out.mFree = slots - ExpectedLoad(aTarget.mLoad, aNow);
+  out.mSlots = slots;
   choice.mRoundTrip =
     RoundTripTo(aView.mTrips, registration.mFailureDomain, aTarget.mRegion);
   choice.mWait = Millis(static_cast<std::int64_t>(waitMs));
@@ -127,6 +137,48 @@
   return out;
 }
 
+bool HasGoal(const PlacementView& aView, const PlacementRequest& aRequest)
+{
+  return aView.mContended && aRequest.mGoalEnd;
+}
+
+LatencyGoal GoalOf(const PlacementRequest& aRequest)
+{
+  return { aRequest.mGoalEnd.value_or(aRequest.mDeadline),
+           aRequest.mReturnsLate, aRequest.mRoute.mPriority };
+}
+
+GoalForecast ForGoal(const PlacementView& aView, const Forecast& aForecast)
+{
+  const auto& choice = aForecast.mChoice;
+  return Corrected({ choice.mWait, choice.mRun, choice.mRoundTrip,
+                     aForecast.mFree, aForecast.mSlots },
+                   aView.mError, aView.mMeanRun);
+}
+
+/// Judges a forecast by the request's goal, with the wait that runs of all
+/// kinds cause.
+void ApplyGoal(const PlacementView& aView, const PlacementRequest& aRequest,
+               Forecast& aForecast, TimePoint aNow)
+{
+  auto& choice = aForecast.mChoice;
+  const auto likely = ExpectedRun(aView.mRunTimes, Warmth::Likely);
+  const auto run = std::max(likely, aView.mMeanRun);
+  // What slows the own run slows those ahead too.
+  const double slowness =
+    static_cast<double>(choice.mRun.count()) /
+    std::max(1.0, static_cast<double>(
+                    ExpectedRun(aView.mRunTimes, choice.mWarmth).count()));
+  const auto wait =
+    std::max(choice.mWait,
+             Millis(static_cast<std::int64_t>(aForecast.mAhead *
+                                              static_cast<double>(run.count()) *
+                                              slowness / aForecast.mSlots)));
+  aForecast.mCostMs += static_cast<double>((wait - choice.mWait).count());
+  choice.mWait = wait;
+  aForecast.mFit = FitOf(GoalOf(aRequest), ForGoal(aView, aForecast), aNow);
+}
+
 Millis TimeToClear(const Forecast& aForecast)
 {
   const double over = aForecast.mAhead - aForecast.mMaxAhead;
@@ -141,7 +193,7 @@
 struct Field
 {
   Owners<kNearOwners> mNear;
-  Owners<kFarOwners> mFar;
+  Owners<kFarOwners + kSpareFarOwners> mFar;
   Owners<1> mCold; ///< Used where there is no other.
   /// When the first target takes one more that now takes none by its limit.
   std::optional<Millis> mLimitedFor;
@@ -149,6 +201,7 @@
   std::optional<Millis> mPausedFor;
   /// Besides the owners: targets known to be warm, and one with a rate limit.
   std::vector<LiveTarget*> mOthers;
+  LiveTarget* mLimitedOwner = nullptr; ///< The one with a rate limit.
   bool mAny = false;
 };
 
@@ -204,12 +257,34 @@
       limitedOwner.Offer(candidate);
     }
   }
-  if (auto* target = limitedOwner.mBest[0].mTarget) {
-    out.mOthers.push_back(target);
+  out.mLimitedOwner = limitedOwner.mBest[0].mTarget;
+  if (out.mLimitedOwner != nullptr) {
+    out.mOthers.push_back(out.mLimitedOwner);
   }
   return out;
 }
 
+/// @returns true where there is room: by the queue, and by the goal if any
+bool HasRoom(const Forecast& aForecast) noexcept
+{
+  switch (aForecast.mFit) {
+    case GoalFit::InTime:
+      return aForecast.mAhead <= aForecast.mMaxAhead;
+    case GoalFit::LateAtOnce:
+      return true;
+    case GoalFit::None:
+      break;
+  }
+  return false;
+}
+
+/// Within the goal goes before late, then the least cost counts.
+bool IsBetter(const Forecast& aFirst, const Forecast& aSecond) noexcept
+{
+  return aFirst.mFit != aSecond.mFit ? aFirst.mFit < aSecond.mFit
+                                     : aFirst.mCostMs < aSecond.mCostMs;
+}
+
 /// The best of several forecasts.
 struct Best
 {
@@ -221,26 +296,29 @@
     if (!mShortest || aForecast.mAhead < mShortest->mAhead) {
       mShortest = aForecast;
     }
-    if (aForecast.mAhead <= aForecast.mMaxAhead &&
-        (!mBest || aForecast.mCostMs < mBest->mCostMs)) {
+    if (HasRoom(aForecast) && (!mBest || IsBetter(aForecast, *mBest))) {
       mBest = aForecast;
     }
   }
 };
 
-/// @param aFar  the owners are of other regions
+/// @param aMost  owners that are considered
+/// @param aFar   the owners are of other regions
 template<std::size_t N>
 Best BestOf(const PlacementView& aView, const PlacementRequest& aRequest,
-            const Owners<N>& aOwners, const std::vector<LiveTarget*>& aOthers,
-            bool aFar, TimePoint aNow)
+            const Owners<N>& aOwners, std::size_t aMost,
+            const std::vector<LiveTarget*>& aOthers, bool aFar, TimePoint aNow)
 {
   Best out;
   const auto consider = [&](LiveTarget& aTarget, bool aFirst) {
     auto forecast = ForecastAt(aView, aRequest, aTarget, aFirst, aNow);
     forecast.mChoice.mFar = aFar;
+    if (HasGoal(aView, aRequest)) {
+      ApplyGoal(aView, aRequest, forecast, aNow);
+    }
     out.Consider(forecast);
   };
-  for (std::size_t n = 0; n < N; ++n) {
+  for (std::size_t n = 0; n < aMost; ++n) {
     if (aOwners.mBest[n].mTarget != nullptr) {
       consider(*aOwners.mBest[n].mTarget, n == 0);
     }
@@ -268,7 +346,7 @@
               const ShiftBound& aShiftBound)
 {
   const bool prefersFar =
-    aFar.mBest && (!aNear.mBest || aFar.mBest->mCostMs < aNear.mBest->mCostMs);
+    aFar.mBest && (!aNear.mBest || IsBetter(*aFar.mBest, *aNear.mBest));
   bool goFar = prefersFar;
   if (!aShiftBound.mMayLeave || !aShiftBound.mMayStay) {
     goFar = aShiftBound.mMayLeave;
@@ -276,13 +354,60 @@
   const auto& wanted = goFar ? aFar : aNear;
   const auto& other = goFar ? aNear : aFar;
   const bool bound = aShiftBound.mStrict && wanted.mShortest;
-  Weighed out{ wanted.mBest || bound ? wanted.mBest : other.mBest, prefersFar,
-               false };
+  // A region where the request would be late counts as one without room.
+  const bool room =
+    wanted.mBest && (!other.mBest || wanted.mBest->mFit <= other.mBest->mFit);
+  Weighed out{ room || bound ? wanted.mBest : other.mBest, prefersFar, false };
   out.mBound = !out.mBest && other.mBest;
   return out;
 }
 
-PlacementChoice Refuse(const Field& aField, const Best& aNear, const Best& aFar)
+/// The best near and far candidates of one request.
+struct Candidates
+{
+  Best mNear;
+  Best mFar;
+
+  [[nodiscard]] bool EndsInTime() const noexcept
+  {
+    const auto inTime = [](const std::optional<Forecast>& a) {
+      return a && a->mFit == GoalFit::InTime;
+    };
+    return inTime(mNear.mBest) || inTime(mFar.mBest);
+  }
+};
+
+/// Considers owners and others together. Where the request has a goal, targets
+/// that are no owners are left out while an owner ends within it, so that
+/// objects return to their owners once the load allows it.
+Candidates Consider(const PlacementView& aView,
+                    const PlacementRequest& aRequest, const Field& aField,
+                    TimePoint aNow)
+{
+  if (HasGoal(aView, aRequest)) {
+    std::vector<LiveTarget*> limited;
+    if (aField.mLimitedOwner != nullptr) {
+      limited.push_back(aField.mLimitedOwner);
+    }
+    Candidates owners{
+      BestOf(aView, aRequest, aField.mNear, kNearOwners, limited, false, aNow),
+      BestOf(aView, aRequest, aField.mFar, kFarOwners, limited, true, aNow)
+    };
+    if (owners.EndsInTime()) {
+      return owners;
+    }
+  }
+  const auto far =
+    kFarOwners + (HasGoal(aView, aRequest) ? kSpareFarOwners : 0);
+  return { BestOf(aView, aRequest, aField.mNear, kNearOwners, aField.mOthers,
+                  false, aNow),
+           BestOf(aView, aRequest, aField.mFar, far, aField.mOthers, true,
+                  aNow) };
+}
+
+PlacementChoice Refuse(const PlacementView& aView,
+                       const PlacementRequest& aRequest, const Field& aField,
+                       const Best& aNear, const Best& aFar, TimePoint aNow)
 {
   PlacementChoice out;
   const auto& shortest =
@@ -292,8 +417,11 @@
       : aFar.mShortest;
   if (shortest) {
     out = shortest->mChoice;
-    out.mClearsIn = TimeToClear(*shortest);
-    out.mRefusal = PlacementRefusal::Full;
+    const bool goal = HasGoal(aView, aRequest);
+    out.mClearsIn =
+      goal ? RetryAfter(GoalOf(aRequest), ForGoal(aView, *shortest), aNow)
+           : TimeToClear(*shortest);
+    out.mRefusal = goal ? PlacementRefusal::PastGoal : PlacementRefusal::Full;
   } else if (aField.mLimitedFor || aField.mPausedFor) {
     const auto limited = aField.mLimitedFor.value_or(kMaxPause);
     const auto paused = aField.mPausedFor.value_or(kMaxPause);
@@ -335,19 +463,17 @@
 {
   const auto list = aView.mRegistry.mByService.find(aRequest.mService);
   if (list == aView.mRegistry.mByService.end()) {
-    return Refuse({}, {}, {});
+    return Refuse(aView, aRequest, {}, {}, {}, aNow);
   }
   const auto field = FindOwners(aView, aRequest, list->second, aNow);
-  const auto near =
-    BestOf(aView, aRequest, field.mNear, field.mOthers, false, aNow);
-  const auto far =
-    BestOf(aView, aRequest, field.mFar, field.mOthers, true, aNow);
+  const auto [near, far] = Consider(aView, aRequest, field, aNow);
   auto weighed = Weigh(near, far, aView.mShiftBound);
   auto& best = weighed.mBest;
   if (!near.mShortest && !far.mShortest) {
-    best = BestOf(aView, aRequest, field.mCold, {}, false, aNow).mBest;
+    best = BestOf(aView, aRequest, field.mCold, 1, {}, false, aNow).mBest;
   }
-  auto out = best ? best->mChoice : Refuse(field, near, far);
+  auto out =
+    best ? best->mChoice : Refuse(aView, aRequest, field, near, far, aNow);
   out.mPrefersFar = weighed.mPrefersFar;
   out.mStrict = aView.mShiftBound.mStrict;
   if (!best) {
