--- a/src/placement/latency_goal.cpp
+++ b/src/placement/latency_goal.cpp
@@ -10,7 +10,7 @@
 /// failure domain of the region.
 constexpr Millis kReturnPath{ 20 };
 /// Part of the longest wait that is left to the next lower priority.
-constexpr double kRankPart = 0.75;
+constexpr double kRankPart = 0.6;
 /// Part of a target's slots that has to be free for a request that returns
 /// late.
 constexpr double kFreePart = 0.25;
--- a/tests/unit/latency_goal_test.cpp
+++ b/tests/unit/latency_goal_test.cpp
@@ -77,10 +77,10 @@
 {
   // Callers return once: too early means that they are refused for good.
   const GoalForecast forecast{ 300ms, 100ms, 0ms, 0, 3 };
-  // The wait fits three quarters of the time left once 300 - R is 0.75 times
-  // 350 - R.
-  cr_assert_eq(RetryAfter({ kNow + 450ms, false, 1 }, forecast, kNow).count(),
-               150);
+  // The wait fits 0.6 of the time left once 300 - R is 0.6 times 350 - R.
+  const auto fits = RetryAfter({ kNow + 450ms, false, 1 }, forecast, kNow);
+  cr_assert_geq(fits.count(), 224);
+  cr_assert_leq(fits.count(), 225);
   // It will never fit; a slot is free after the wait.
   cr_assert_eq(RetryAfter({ kNow + 350ms, false, 0 }, forecast, kNow).count(),
                300);
@@ -370,6 +370,7 @@
 };
 
 constexpr double kNormal = 0.5;
+constexpr std::uint64_t kSeeds = 6;
 /// Part of the capacity that a burst has to get within the goal.
 constexpr double kMost = 0.9;
 
@@ -382,12 +383,48 @@
 
 } // namespace
 
+// A small region whose load runs in others: with one far owner per object its
+// requests are refused while other far targets have room.
+Test(latency_goal, a_second_far_owner_helps_while_the_first_is_full)
+{
+  for (const bool contended : { false, true }) {
+    Knowledge entry;
+    entry.mRegistry.mDomains = { { "a1", "a" }, { "b1", "b" } };
+    entry.mTrips.mOwnDomain = "a1";
+    entry.mTrips.mOwnRegion = "a";
+    for (int n = 0; n < 8; ++n) {
+      Registration target;
+      target.mId = "t" + std::to_string(n);
+      target.mService = "proofs";
+      target.mFailureDomain = n < 2 ? "a1" : "b1";
+      target.mSlots = kSlots;
+      TakeRegistration(entry.mRegistry, target, kNow);
+    }
+    PlacementView view{ entry.mRegistry, entry.mTrips, entry.mWarm,
+                        entry.mTimes,    ColdBound{},  kEntries,
+                        kEntries,        false,        ShiftBound{} };
+    view.mContended = contended;
+    const Route route;
+    const std::string service = "proofs";
+    PlacementRequest request{ route, service, 7, kNow + 5s, {} };
+    request.mGoalEnd = kNow + 900ms;
+    for (auto& [id, target] : entry.mRegistry.mTargets) {
+      target->mLoad.mOwn = target->mRegion == "a" ? 50 : 0;
+    }
+    const auto first = ChooseOwner(view, request, kNow);
+    cr_assert(first.mFar);
+    first.mTarget->mLoad.mOwn = 50;
+    const auto second = ChooseOwner(view, request, kNow);
+    cr_assert_eq(second.mRefusal == PlacementRefusal::None, contended);
+  }
+}
+
 // Pattern: a burst of 2x capacity for 3 s, then normal demand.
 Test(latency_goal, a_burst_is_served_within_the_goal_up_to_the_capacity)
 {
   Served urgent;
   Served other;
-  for (const std::uint64_t seed : { 1, 2, 3, 4, 5, 6 }) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     Loop loop(seed, true);
     loop.Run(kNormal);
     loop.Log("with goals");
@@ -406,7 +443,7 @@
 // The control: without goals in placement the same burst is served late.
 Test(latency_goal, without_goals_the_same_burst_is_served_late)
 {
-  for (const std::uint64_t seed : { 1, 2, 3, 4, 5, 6 }) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     Loop loop(seed, false);
     loop.Run(kNormal);
     loop.Log("without goals");
