ReportedLoad: initializer, so that load_test builds

Cause: the release build stopped at load_test.cpp, which leaves the new field out (-Werror=missing-field-initializers). Change: a default member initializer.

--- a/include/guavaline/placement/load.hpp
+++ b/include/guavaline/placement/load.hpp
@@ -34,7 +34,7 @@
   std::uint32_t mSlots = 0;
   /// How long runs take on the target's host at present, in percent of the
   /// usual; nothing where the target does not say.
-  std::optional<std::uint32_t> mRunPercent;
+  std::optional<std::uint32_t> mRunPercent = std::nullopt;
 };
 
 /// Takes in a report.
