--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -26,9 +26,6 @@
   std::set<std::string> mExcluded; ///< Ids of targets that failed it.
   bool mReturning = false;         ///< Its caller was refused before.
   std::uint64_t mDraw = 0;         ///< Random; decides among equal candidates.
-  /// When its latency goal ends; nothing where it has none.
-  std::optional<TimePoint> mGoalEnd = std::nullopt;
-  bool mReturnsLate = false; ///< It returns, and its goal had passed before.
 };
 
 /// Requests a second that a cold target bears, from all entries together.
@@ -55,10 +52,6 @@
   bool mContended = false; ///< The service's targets may be short of room.
   /// When another entry of the region last sent its figures on loads.
   TimePoint mLoadsHeard{};
-  /// Mean of the service's runs, warm and cold; 0 where none was measured.
-  Millis mMeanRun{ 0 };
-  /// By how much responses of the service lately came after their forecasts.
-  Millis mError{ 0 };
 };
 
 /// Why there is no target.
@@ -71,7 +64,6 @@
   Bound,    ///< There is room, but only beyond the bound on shifts between
             ///< regions.
   TooLate,  ///< It would not end before its deadline.
-  PastGoal, ///< It would end after its latency goal, and no slot is free.
 };
 
 struct PlacementChoice
--- a/include/guavaline/placement/service_time.hpp
+++ b/include/guavaline/placement/service_time.hpp
@@ -27,16 +27,11 @@
 struct RunTimes
 {
   double mMs[kWarmthKinds + 1] = {};
-  double mMeanMs = 0; ///< Of runs of all kinds.
-  double mRuns = 0;   ///< How many were taken in.
 };
 
 /// @returns the expected time of a run without waiting
 [[nodiscard]] Millis ExpectedRun(const RunTimes& aTimes, Warmth aWarmth);
 
-/// Adds the runs of one route to those of others of the same service.
-void AddRuns(RunTimes& aSum, const RunTimes& aTimes);
-
 /// Takes in a run that did not wait.
 void NoteRun(RunTimes& aTimes, Warmth aWarmth, Millis aTook);
 
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -84,10 +84,6 @@
       { "took_ms", MillisText(std::chrono::duration_cast<Millis>(took)) },
       { "left_ms", MillisText(std::chrono::duration_cast<Millis>(
                      aState.mDeadline - aNow)) },
-      { "goal_ms", aState.mGoalEnd
-                     ? MillisText(std::chrono::duration_cast<Millis>(
-                         *aState.mGoalEnd - aNow))
-                     : "" },
       { "configuration", std::to_string(aState.mVersion) },
       { "view_revision", std::to_string(view.mRevision) },
       { "view_age_ms", MillisText(viewAge) } });
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -17,7 +17,6 @@
 #include <guavaline/admission/budgets.hpp>
 #include <guavaline/crashes/crash_table.hpp>
 #include <guavaline/metrics/metrics.hpp>
-#include <guavaline/placement/latency_goal.hpp>
 #include <guavaline/placement/placement.hpp>
 #include <guavaline/views/follow.hpp>
 
@@ -74,8 +73,6 @@
   TimePoint mDisturbed{}; ///< When a connection, entry or the store failed.
   std::map<std::string, RouteRecord> mRoutes;  ///< By route.
   std::map<std::string, RetryBudget> mRetries; ///< By service.
-  /// By service that is contended.
-  std::map<std::string, ForecastError> mForecastErrors;
   CrashTable mCrashTable;
   CrashEvidence mUntoldCrashes;          ///< Not told to other entries yet.
   std::vector<TargetPtr> mBrokenTargets; ///< Those that broke runs lately.
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -61,36 +61,8 @@
   return { rate, bounds.mColdOver, bounds.mColdSlack };
 }
 
-/// Learns by how much a response came after its forecast.
-void LearnError(Entry& aEntry, const RequestState& aState, TimePoint aSent,
-                const SendOutcome& aOutcome, TimePoint aNow)
-{
-  const auto& choice = aState.mChoice;
-  if (!aOutcome.mAnswer || aOutcome.mWorthRetry ||
-      !IsContended(aEntry, aState.mService)) {
-    return;
-  }
-  const auto took = std::chrono::duration_cast<Millis>(aNow - aSent);
-  NoteError(aEntry.mForecastErrors[aState.mService],
-            took - choice.mRoundTrip - choice.mWait - choice.mRun, aNow);
-}
-
-/// @returns the mean run of a service over its routes, which share its targets
-Millis MeanRun(const Entry& aEntry, const std::string& aService)
-{
-  RunTimes sum;
-  for (const auto& [name, record] : aEntry.mRoutes) {
-    const auto it = record.mRunTimes.find(aService);
-    if (it != record.mRunTimes.end()) {
-      AddRuns(sum, it->second);
-    }
-  }
-  return Millis(static_cast<std::int64_t>(sum.mMeanMs));
-}
-
 void Choose(Entry& aEntry, RequestState& aState, TimePoint aNow)
 {
-  const bool contended = IsContended(aEntry, aState.mService);
   const PlacementView view{
     aEntry.mRegistry,
     aEntry.mTrips,
@@ -102,25 +74,16 @@
     IsUnseen(aEntry, aNow),
     ShiftBoundOf(aEntry.mRegionShare,
                  std::max(aEntry.mDisturbed, aEntry.mRegistry.mChanged), aNow),
-    contended,
-    aEntry.mLoads.mHeard,
-    contended ? MeanRun(aEntry, aState.mService) : Millis(0),
-    contended ? ErrorOf(aEntry.mForecastErrors[aState.mService], aNow)
-              : Millis(0)
+    IsContended(aEntry, aState.mService),
+    aEntry.mLoads.mHeard
   };
-  PlacementRequest request{ aState.mRoute,
-                            aState.mService,
-                            aState.mKey,
-                            aState.mDeadline,
-                            aState.mTried,
-                            aState.mReturning,
-                            contended ? aEntry.mRandom() : 0 };
-  // A request that may have run cannot be refused as one that has not.
-  if (aState.mRuns == 0) {
-    request.mGoalEnd = aState.mGoalEnd;
-    request.mReturnsLate = aState.mReturning && aState.mGoalEnd &&
-                           *aState.mGoalEnd <= aState.mArrived;
-  }
+  const PlacementRequest request{ aState.mRoute,
+                                  aState.mService,
+                                  aState.mKey,
+                                  aState.mDeadline,
+                                  aState.mTried,
+                                  aState.mReturning,
+                                  view.mContended ? aEntry.mRandom() : 0 };
   aState.mChoice = ChooseOwner(view, request, aNow);
 }
 
@@ -139,8 +102,6 @@
       return "shift_bound";
     case PlacementRefusal::TooLate:
       return "too_late";
-    case PlacementRefusal::PastGoal:
-      return "past_goal";
     case PlacementRefusal::None:
       break;
   }
@@ -209,7 +170,6 @@
       co_return GiveUp(aEntry, aState, std::move(last), now);
     }
     last = co_await SendOnce(aEntry, aState);
-    LearnError(aEntry, aState, now, last, Clock::now());
     if (last.mAnswer && !last.mWorthRetry) {
       LastWord out{ std::move(*last.mAnswer), last.mWhat };
       co_return out;
@@ -317,11 +277,6 @@
   // After the check of the account: callers without a key must not affect the
   // estimate of the time limit that a route's callers start with.
   state.mReturning = IsReturning(aEntry, *route, limit);
-  if (route->mLatencyGoal.count() > 0) {
-    state.mGoalEnd =
-      GoalEnd(state.mArrived, aEntry.mRoutes[route->mName].mFullLimit, limit,
-              route->mLatencyGoal);
-  }
   if (route->mTimeout.count() > 0) {
     limit = std::min(limit, route->mTimeout);
   }
--- a/src/entry/request_state.hpp
+++ b/src/entry/request_state.hpp
@@ -23,8 +23,6 @@
   TimePoint mArrived;
   TimePoint mDeadline;
   bool mReturning = false;
-  /// When the latency goal of its route ends for it.
-  std::optional<TimePoint> mGoalEnd;
   std::uint64_t mVersion = 0;   ///< Of the configuration.
   std::set<std::string> mTried; ///< Targets that failed it or refused it.
   std::uint32_t mRuns = 0;      ///< Targets that may have run it.
--- a/src/entry/run.cpp
+++ b/src/entry/run.cpp
@@ -228,9 +228,6 @@
   std::erase_if(aEntry.mRetries, [&](const auto& a) {
     return table.mServices.count(a.first) == 0;
   });
-  std::erase_if(aEntry.mForecastErrors, [&](const auto& a) {
-    return table.mServices.count(a.first) == 0;
-  });
 }
 
 asio::awaitable<void> Pause(Entry& aEntry, Millis aTime)
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -24,8 +24,6 @@
     { "shift_bound", "not run: its region is full, and the bound on shifts "
                      "between regions kept it there" },
     { "too_late", "not run: it could not end before its deadline" },
-    { "past_goal", "not run: it would have ended after its latency goal, and "
-                   "no slot was free" },
     { "no_target", "not run: no target may serve it" },
     { "not_ready", "not run: the entry had no view of the store yet" },
     { "stopping", "not run: the entry was stopping" },
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,7 +1,6 @@
 #include <guavaline/placement/placement.hpp>
 
 #include <guavaline/core/hash.hpp>
-#include <guavaline/placement/latency_goal.hpp>
 #include <guavaline/placement/peer_load.hpp>
 
 #include <algorithm>
@@ -14,10 +13,6 @@
 /// Owners of an object in the entry's own region, and in all others.
 constexpr std::size_t kNearOwners = 2;
 constexpr std::size_t kFarOwners = 1;
-/// Further owner in other regions of a contended service, used while no owner
-/// ends within the goal. A small region whose load runs in others otherwise
-/// refuses requests of an object at one busy target while others have room.
-constexpr std::size_t kSpareFarOwners = 1;
 /// Part of a target's slots that may be waiting besides those running, for
 /// requests of the highest priority and for all others.
 constexpr double kMaxWaitingFirst = 1.0;
@@ -106,8 +101,6 @@
   double mCostMs = 0;
   double mFree = 0;         ///< Slots that are expected to be free.
   double mPerRequestMs = 0; ///< Wait that one more request at it makes.
-  double mSlots = 1;
-  GoalFit mFit = GoalFit::InTime;
 };
 
 Forecast ForecastAt(const PlacementView& aView,
@@ -139,7 +132,6 @@
   const double waitMs = out.mAhead * likely * slowness / slots;
   out.mPerRequestMs = likely * slowness / slots;
   out.mMaxAhead = slots * WaitingPart(aRequest);
-  out.mSlots = slots;
   choice.mRoundTrip =
     RoundTripTo(aView.mTrips, registration.mFailureDomain, aTarget.mRegion);
   choice.mWait = Millis(static_cast<std::int64_t>(waitMs));
@@ -150,48 +142,6 @@
   return out;
 }
 
-bool HasGoal(const PlacementView& aView, const PlacementRequest& aRequest)
-{
-  return aView.mContended && aRequest.mGoalEnd;
-}
-
-LatencyGoal GoalOf(const PlacementRequest& aRequest)
-{
-  return { aRequest.mGoalEnd.value_or(aRequest.mDeadline),
-           aRequest.mReturnsLate, aRequest.mRoute.mPriority };
-}
-
-GoalForecast ForGoal(const PlacementView& aView, const Forecast& aForecast)
-{
-  const auto& choice = aForecast.mChoice;
-  return Corrected({ choice.mWait, choice.mRun, choice.mRoundTrip,
-                     aForecast.mFree, aForecast.mSlots },
-                   aView.mError, aView.mMeanRun);
-}
-
-/// Judges a forecast by the request's goal, with the wait that runs of all
-/// kinds cause.
-void ApplyGoal(const PlacementView& aView, const PlacementRequest& aRequest,
-               Forecast& aForecast, TimePoint aNow)
-{
-  auto& choice = aForecast.mChoice;
-  const auto likely = ExpectedRun(aView.mRunTimes, Warmth::Likely);
-  const auto run = std::max(likely, aView.mMeanRun);
-  // What slows the own run slows those ahead too.
-  const double slowness =
-    static_cast<double>(choice.mRun.count()) /
-    std::max(1.0, static_cast<double>(
-                    ExpectedRun(aView.mRunTimes, choice.mWarmth).count()));
-  const auto wait =
-    std::max(choice.mWait,
-             Millis(static_cast<std::int64_t>(aForecast.mAhead *
-                                              static_cast<double>(run.count()) *
-                                              slowness / aForecast.mSlots)));
-  aForecast.mCostMs += static_cast<double>((wait - choice.mWait).count());
-  choice.mWait = wait;
-  aForecast.mFit = FitOf(GoalOf(aRequest), ForGoal(aView, aForecast), aNow);
-}
-
 Millis TimeToClear(const Forecast& aForecast)
 {
   const double over = aForecast.mAhead - aForecast.mMaxAhead;
@@ -206,7 +156,7 @@
 struct Field
 {
   Owners<kNearOwners> mNear;
-  Owners<kFarOwners + kSpareFarOwners> mFar;
+  Owners<kFarOwners> mFar;
   Owners<1> mCold; ///< Used where there is no other.
   /// When the first target takes one more that now takes none by its limit.
   std::optional<Millis> mLimitedFor;
@@ -214,7 +164,6 @@
   std::optional<Millis> mPausedFor;
   /// Besides the owners: targets known to be warm, and one with a rate limit.
   std::vector<LiveTarget*> mOthers;
-  LiveTarget* mLimitedOwner = nullptr; ///< The one with a rate limit.
   bool mAny = false;
 };
 
@@ -270,34 +219,12 @@
       limitedOwner.Offer(candidate);
     }
   }
-  out.mLimitedOwner = limitedOwner.mBest[0].mTarget;
-  if (out.mLimitedOwner != nullptr) {
-    out.mOthers.push_back(out.mLimitedOwner);
+  if (auto* target = limitedOwner.mBest[0].mTarget) {
+    out.mOthers.push_back(target);
   }
   return out;
 }
 
-/// @returns true where there is room: by the queue, and by the goal if any
-bool HasRoom(const Forecast& aForecast) noexcept
-{
-  switch (aForecast.mFit) {
-    case GoalFit::InTime:
-      return aForecast.mAhead <= aForecast.mMaxAhead;
-    case GoalFit::LateAtOnce:
-      return true;
-    case GoalFit::None:
-      break;
-  }
-  return false;
-}
-
-/// Within the goal goes before late, then the least cost counts.
-bool IsBetter(const Forecast& aFirst, const Forecast& aSecond) noexcept
-{
-  return aFirst.mFit != aSecond.mFit ? aFirst.mFit < aSecond.mFit
-                                     : aFirst.mCostMs < aSecond.mCostMs;
-}
-
 /// The best of several forecasts.
 struct Best
 {
@@ -309,7 +236,8 @@
     if (!mShortest || aForecast.mAhead < mShortest->mAhead) {
       mShortest = aForecast;
     }
-    if (HasRoom(aForecast) && (!mBest || IsBetter(aForecast, *mBest))) {
+    if (aForecast.mAhead <= aForecast.mMaxAhead &&
+        (!mBest || aForecast.mCostMs < mBest->mCostMs)) {
       mBest = aForecast;
     }
   }
@@ -320,7 +248,7 @@
 bool IsNearEqual(const Forecast& aBest, const Forecast& aOther) noexcept
 {
   return aOther.mChoice.mWarmth == aBest.mChoice.mWarmth &&
-         aOther.mFit == aBest.mFit && HasRoom(aOther) &&
+         aOther.mAhead <= aOther.mMaxAhead &&
          aOther.mCostMs - aBest.mCostMs <=
            kUncertainRequests *
              std::max(aBest.mPerRequestMs, aOther.mPerRequestMs);
@@ -356,21 +284,17 @@
   }
 }
 
-/// @param aMost  owners that are considered
-/// @param aFar   the owners are of other regions
+/// @param aFar  the owners are of other regions
 template<std::size_t N>
 Best BestOf(const PlacementView& aView, const PlacementRequest& aRequest,
-            const Owners<N>& aOwners, std::size_t aMost,
-            const std::vector<LiveTarget*>& aOthers, bool aFar, TimePoint aNow)
+            const Owners<N>& aOwners, const std::vector<LiveTarget*>& aOthers,
+            bool aFar, TimePoint aNow)
 {
   Best out;
   std::vector<Forecast> forecasts;
   const auto consider = [&](LiveTarget& aTarget, bool aFirst) {
     auto forecast = ForecastAt(aView, aRequest, aTarget, aFirst, aNow);
     forecast.mChoice.mFar = aFar;
-    if (HasGoal(aView, aRequest)) {
-      ApplyGoal(aView, aRequest, forecast, aNow);
-    }
     out.Consider(forecast);
     // An owner that is known to be warm comes twice.
     const bool listed =
@@ -381,7 +305,7 @@
       forecasts.push_back(forecast);
     }
   };
-  for (std::size_t n = 0; n < aMost; ++n) {
+  for (std::size_t n = 0; n < N; ++n) {
     if (aOwners.mBest[n].mTarget != nullptr) {
       consider(*aOwners.mBest[n].mTarget, n == 0);
     }
@@ -410,7 +334,7 @@
               const ShiftBound& aShiftBound)
 {
   const bool prefersFar =
-    aFar.mBest && (!aNear.mBest || IsBetter(*aFar.mBest, *aNear.mBest));
+    aFar.mBest && (!aNear.mBest || aFar.mBest->mCostMs < aNear.mBest->mCostMs);
   bool goFar = prefersFar;
   if (!aShiftBound.mMayLeave || !aShiftBound.mMayStay) {
     goFar = aShiftBound.mMayLeave;
@@ -418,60 +342,13 @@
   const auto& wanted = goFar ? aFar : aNear;
   const auto& other = goFar ? aNear : aFar;
   const bool bound = aShiftBound.mStrict && wanted.mShortest;
-  // A region where the request would be late counts as one without room.
-  const bool room =
-    wanted.mBest && (!other.mBest || wanted.mBest->mFit <= other.mBest->mFit);
-  Weighed out{ room || bound ? wanted.mBest : other.mBest, prefersFar, false };
+  Weighed out{ wanted.mBest || bound ? wanted.mBest : other.mBest, prefersFar,
+               false };
   out.mBound = !out.mBest && other.mBest;
   return out;
 }
 
-/// The best near and far candidates of one request.
-struct Candidates
-{
-  Best mNear;
-  Best mFar;
-
-  [[nodiscard]] bool EndsInTime() const noexcept
-  {
-    const auto inTime = [](const std::optional<Forecast>& a) {
-      return a && a->mFit == GoalFit::InTime;
-    };
-    return inTime(mNear.mBest) || inTime(mFar.mBest);
-  }
-};
-
-/// Considers owners and others together. Where the request has a goal, targets
-/// that are no owners are left out while an owner ends within it, so that
-/// objects return to their owners once the load allows it.
-Candidates Consider(const PlacementView& aView,
-                    const PlacementRequest& aRequest, const Field& aField,
-                    TimePoint aNow)
-{
-  if (HasGoal(aView, aRequest)) {
-    std::vector<LiveTarget*> limited;
-    if (aField.mLimitedOwner != nullptr) {
-      limited.push_back(aField.mLimitedOwner);
-    }
-    Candidates owners{
-      BestOf(aView, aRequest, aField.mNear, kNearOwners, limited, false, aNow),
-      BestOf(aView, aRequest, aField.mFar, kFarOwners, limited, true, aNow)
-    };
-    if (owners.EndsInTime()) {
-      return owners;
-    }
-  }
-  const auto far =
-    kFarOwners + (HasGoal(aView, aRequest) ? kSpareFarOwners : 0);
-  return { BestOf(aView, aRequest, aField.mNear, kNearOwners, aField.mOthers,
-                  false, aNow),
-           BestOf(aView, aRequest, aField.mFar, far, aField.mOthers, true,
-                  aNow) };
-}
-
-PlacementChoice Refuse(const PlacementView& aView,
-                       const PlacementRequest& aRequest, const Field& aField,
-                       const Best& aNear, const Best& aFar, TimePoint aNow)
+PlacementChoice Refuse(const Field& aField, const Best& aNear, const Best& aFar)
 {
   PlacementChoice out;
   const auto& shortest =
@@ -481,11 +358,8 @@
       : aFar.mShortest;
   if (shortest) {
     out = shortest->mChoice;
-    const bool goal = HasGoal(aView, aRequest);
-    out.mClearsIn =
-      goal ? RetryAfter(GoalOf(aRequest), ForGoal(aView, *shortest), aNow)
-           : TimeToClear(*shortest);
-    out.mRefusal = goal ? PlacementRefusal::PastGoal : PlacementRefusal::Full;
+    out.mClearsIn = TimeToClear(*shortest);
+    out.mRefusal = PlacementRefusal::Full;
   } else if (aField.mLimitedFor || aField.mPausedFor) {
     const auto limited = aField.mLimitedFor.value_or(kMaxPause);
     const auto paused = aField.mPausedFor.value_or(kMaxPause);
@@ -527,17 +401,19 @@
 {
   const auto list = aView.mRegistry.mByService.find(aRequest.mService);
   if (list == aView.mRegistry.mByService.end()) {
-    return Refuse(aView, aRequest, {}, {}, {}, aNow);
+    return Refuse({}, {}, {});
   }
   const auto field = FindOwners(aView, aRequest, list->second, aNow);
-  const auto [near, far] = Consider(aView, aRequest, field, aNow);
+  const auto near =
+    BestOf(aView, aRequest, field.mNear, field.mOthers, false, aNow);
+  const auto far =
+    BestOf(aView, aRequest, field.mFar, field.mOthers, true, aNow);
   auto weighed = Weigh(near, far, aView.mShiftBound);
   auto& best = weighed.mBest;
   if (!near.mShortest && !far.mShortest) {
-    best = BestOf(aView, aRequest, field.mCold, 1, {}, false, aNow).mBest;
+    best = BestOf(aView, aRequest, field.mCold, {}, false, aNow).mBest;
   }
-  auto out =
-    best ? best->mChoice : Refuse(aView, aRequest, field, near, far, aNow);
+  auto out = best ? best->mChoice : Refuse(field, near, far);
   out.mPrefersFar = weighed.mPrefersFar;
   out.mStrict = aView.mShiftBound.mStrict;
   if (!best) {
--- a/src/placement/service_time.cpp
+++ b/src/placement/service_time.cpp
@@ -38,16 +38,6 @@
   auto& ms = aTimes.mMs[static_cast<std::size_t>(aWarmth)];
   const auto took = std::max(1.0, static_cast<double>(aTook.count()));
   ms = ms > 0 ? ms + kNewWeight * (took - ms) : took;
-  aTimes.mRuns += 1;
-  aTimes.mMeanMs +=
-    std::max(kNewWeight, 1 / aTimes.mRuns) * (took - aTimes.mMeanMs);
-}
-
-void AddRuns(RunTimes& aSum, const RunTimes& aTimes)
-{
-  aSum.mRuns += aTimes.mRuns;
-  aSum.mMeanMs +=
-    (aTimes.mMeanMs - aSum.mMeanMs) * aTimes.mRuns / std::max(1.0, aSum.mRuns);
 }
 
 std::uint64_t WarmId(std::uint64_t aKey, std::uint64_t aLife) noexcept
