Count ages of views from when they were told

Cause: an entry noted that a view was confirmed at the arrival of a message minus the age in it, so that each message on the way from entry to entry moved the confirmation later by its time on the way.

Ruled out: a slow store (regions that follow take 0.1 s), the store's answers.

Change: ages in answers count from when the call was sent, those in messages that come unasked from a usual time on the way before they came; listings confirm from when they were asked for.

--- a/src/entry/follow.cpp
+++ b/src/entry/follow.cpp
@@ -17,6 +17,9 @@
 constexpr Millis kGatherTime{ 300 };
 /// How often an entry that hears from others looks at its view's age.
 constexpr Millis kAgeCheck{ 100 };
+/// Longest usual way of the store's answer, which tells of the time when it was
+/// written.
+constexpr Millis kAnswerTransit{ 60 };
 /// Calls between entries need current records: their keys change with each
 /// start, and after a start of all of them nobody can be heard without.
 constexpr Millis kEntriesBound{ 3'000 };
@@ -291,6 +294,7 @@
 /// @returns true where the view is whole
 asio::awaitable<bool> ListAll(Entry& aEntry, ObjectKind aKind)
 {
+  const auto called = Clock::now();
   const auto listing = co_await ListPages(aEntry, aKind);
   auto& view = aEntry.mFollows[aKind].mView;
   if (!listing || (view.mListed && listing->mEpoch < view.mEpoch)) {
@@ -307,7 +311,7 @@
              : TakeListing(view, listing->mObjects, listing->mRevision);
   view.mEpoch = listing->mEpoch;
   if (!dropped) {
-    Confirm(view, now);
+    Confirm(view, called);
   }
   aEntry.mFollows[aKind].mBehind = false;
   ApplyChanges(aEntry, aKind, changes, now);
@@ -329,6 +333,7 @@
 asio::awaitable<bool> WatchOnce(Entry& aEntry, ObjectKind aKind, Millis aWait)
 {
   auto& view = aEntry.mFollows[aKind].mView;
+  const auto called = Clock::now();
   auto reply = co_await aEntry.mPlatform.mWatch(aKind, view.mRevision, aWait);
   const auto now = Clock::now();
   NoteReply(aEntry, aKind, "watch", reply, now);
@@ -340,7 +345,7 @@
     const auto from = view.mRevision;
     const auto changes = TakeChanges(view, reply.mChanges, reply.mRevision);
     aEntry.mFollows[aKind].mBehind = false;
-    Confirm(view, now);
+    Confirm(view, std::max(called, now - kAnswerTransit));
     ApplyChanges(aEntry, aKind, changes, now);
     PushChanges(aEntry, aKind, from, changes);
   }
--- a/src/entry/heartbeats.cpp
+++ b/src/entry/heartbeats.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr Millis kCallTimeout{ 1'000 };
+/// Longest way of a heartbeat: 55 ms between regions, and a slow host.
+constexpr Millis kTransit{ 100 };
 constexpr Millis kRecordRetry{ 500 };
 constexpr Millis kRecordCheck{ 3'000 };
 /// Weight of the requests of one heartbeat period in the rate.
@@ -42,10 +44,12 @@
 }
 
 /// Takes in a heartbeat.
+/// @param aTold  a time before which it was not written
 /// @returns the kinds of which the peer's view goes further; nothing where
 ///          the heartbeat cannot be read
 std::optional<std::vector<ObjectKind>> TakeIn(Entry& aEntry,
-                                              const std::string& aBody)
+                                              const std::string& aBody,
+                                              TimePoint aTold)
 {
   EntryHeartbeat heartbeat;
   if (!FromJson(aBody, heartbeat).empty()) {
@@ -60,7 +64,7 @@
   HearRefusals(aEntry.mCrashTable, { heartbeat.mCrashers, heartbeat.mCrashes },
                now);
   HearLimits(aEntry, heartbeat.mLimits.value_or(std::vector<LimitNews>()), now);
-  return HearViews(aEntry, heartbeat.mViews, now);
+  return HearViews(aEntry, heartbeat.mViews, aTold);
 }
 
 asio::awaitable<void> CallPeer(Entry& aEntry, EntryRecord aPeer)
@@ -70,12 +74,14 @@
     co_return;
   }
   const std::string body = MakeHeartbeat(aEntry);
+  const auto called = Clock::now();
   const auto reply = co_await aEntry.mPeers.Call(
     *endpoint, kHeartbeatKind, body, kCallTimeout, aPeer.mPeerKey);
   if (IsRefused(reply)) {
     NoteContact(aEntry.mRoster, Clock::now());
   }
-  const auto newer = reply.mBody ? TakeIn(aEntry, *reply.mBody) : std::nullopt;
+  const auto newer =
+    reply.mBody ? TakeIn(aEntry, *reply.mBody, called) : std::nullopt;
   if (!newer) {
     Log(LogLevel::Debug, "heartbeat_failed",
         { { "entry", aPeer.mName }, { "error", reply.mError.Describe() } });
@@ -219,7 +225,8 @@
   }
   // The caller pulls from the answer what it lacks; what this entry lacks it
   // pulls in its own turn.
-  if (aKind != kHeartbeatKind || !TakeIn(aEntry, aBody)) {
+  if (aKind != kHeartbeatKind ||
+      !TakeIn(aEntry, aBody, Clock::now() - kTransit)) {
     co_return std::nullopt;
   }
   co_return MakeHeartbeat(aEntry);
--- a/src/entry/messages.hpp
+++ b/src/entry/messages.hpp
@@ -137,9 +137,12 @@
                                               TimePoint aNow);
 
 /// Takes in how far a peer's views go.
+/// @param aTold  a time before which the peer did not tell. Ages count from it:
+///               counted from the arrival, each message on the way from entry
+///               to entry would make a view look confirmed later than it was.
 /// @returns the kinds of which the peer has more
 [[nodiscard]] std::vector<ObjectKind> HearViews(
-  Entry& aEntry, const std::vector<ViewNews>& aViews, TimePoint aNow);
+  Entry& aEntry, const std::vector<ViewNews>& aViews, TimePoint aTold);
 
 /// Fetches what a peer has beyond the own view.
 boost::asio::awaitable<void> PullView(Entry& aEntry, EntryRecord aPeer,
--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -19,6 +19,8 @@
 /// Larger changes are fetched from the store, whose link is wider than those
 /// of entries.
 constexpr std::size_t kMaxPassedOn = 32'768;
+/// Longest usual way of a push, which stays in the region.
+constexpr Millis kPushTransit{ 30 };
 /// Ages above this are told as this.
 constexpr Millis kMaxAge{ 600'000 };
 
@@ -70,7 +72,8 @@
 }
 
 /// Takes in another entry's changes, if they join on to the own view.
-void TakeMessage(Entry& aEntry, const ViewMessage& aMessage)
+/// @param aTold  a time before which it did not tell
+void TakeMessage(Entry& aEntry, const ViewMessage& aMessage, TimePoint aTold)
 {
   auto& state = aEntry.mFollows[aMessage.mView.mKind];
   auto& view = state.mView;
@@ -96,7 +99,7 @@
   const bool current = aMessage.mView.mRevision >= view.mRevision;
   const auto fresh = TakeChanges(view, changes, aMessage.mView.mRevision);
   if (current) {
-    Confirm(view, now - aMessage.mView.mAge);
+    Confirm(view, aTold - aMessage.mView.mAge);
   }
   ApplyChanges(aEntry, aMessage.mView.mKind, fresh, now);
 }
@@ -136,7 +139,7 @@
 
 std::vector<ObjectKind> HearViews(Entry& aEntry,
                                   const std::vector<ViewNews>& aViews,
-                                  TimePoint aNow)
+                                  TimePoint aTold)
 {
   std::vector<ObjectKind> out;
   for (const auto& it : aViews) {
@@ -147,7 +150,7 @@
     if (it.mRevision > view.mRevision) {
       out.push_back(it.mKind);
     } else if (it.mRevision == view.mRevision) {
-      Confirm(view, aNow - it.mAge);
+      Confirm(view, aTold - it.mAge);
     }
   }
   return out;
@@ -163,11 +166,12 @@
   const auto& view = aEntry.mFollows[aKind].mView;
   const ViewQuestion question{ aKind, view.mRevision, TellEpoch(view) };
   const std::string body = ToJson(question);
+  const auto called = Clock::now();
   const auto reply = co_await aEntry.mPeers.Call(*endpoint, kPullKind, body,
                                                  kCallTimeout, aPeer.mPeerKey);
   ViewMessage message;
   if (reply.mBody && FromJson(*reply.mBody, message).empty()) {
-    TakeMessage(aEntry, message);
+    TakeMessage(aEntry, message, called);
   }
 }
 
@@ -192,7 +196,7 @@
 {
   ViewMessage message;
   if (FromJson(aBody, message).empty()) {
-    TakeMessage(aEntry, message);
+    TakeMessage(aEntry, message, Clock::now() - kPushTransit);
   }
 }
 
