Client: a body without a length ends whole only in order

Cause: the system returns a socket's error to one call only. Where a target answered an upload that was still being sent and then reset the connection, the send got ECONNRESET, and the read an end of stream as if in order: a part of a body without a length passed as the whole of it.

Change: at the end of such a body the client looks at the connection. In CLOSE_WAIT the peer's FIN came and nothing was reset. Otherwise the error tells, that of SO_ERROR or of the send: Linux names a reset after the peer's FIN EPIPE and one without it ECONNRESET. A send whose handler has yet to run is waited for, 200 ms at most; without any error the answer counts as broken.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,11 +3,13 @@
 #include "http/message_head.hpp"
 #include "http/message_parser.hpp"
 #include "http/sent_ids.hpp"
+#include "http/stream_end.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -51,6 +53,9 @@
 constexpr std::uint64_t kMaxBuffered = 256ULL << 20U;
 /// Interim answers, and late ones to earlier requests, before the own answer.
 constexpr int kMaxLate = 16;
+/// Longest wait for the outcome of a send on a connection that was reset. The
+/// system has ended the send by then, and only its handler has yet to run.
+constexpr Millis kSendEnds{ 200 };
 
 /// A kept connection.
 class PooledConnection
@@ -282,12 +287,18 @@
 /// A request on its way, kept alive by a send that outlasts its answer.
 struct Sending : boost::intrusive_ref_counter<Sending>
 {
+  explicit Sending(const asio::any_io_executor& aExecutor)
+    : mEnded(aExecutor)
+  {
+  }
+
   std::string mHead;
   std::string mBody;
   Connection mConnection;
   beast::error_code mError;
   std::size_t mSent = 0;
   bool mDone = false;
+  asio::steady_timer mEnded; ///< Cancelled when it is done.
 };
 
 asio::awaitable<void> Send(boost::intrusive_ptr<Sending> aSending)
@@ -301,6 +312,7 @@
                                asio::redirect_error(asio::use_awaitable, ec));
   aSending->mError = ec;
   aSending->mDone = true;
+  aSending->mEnded.cancel();
 }
 
 /// Closes a connection unless it is kept.
@@ -400,6 +412,26 @@
   co_return http::error::unexpected_body;
 }
 
+/// Checks the end of a connection that ends its answer's body.
+/// @returns an error where a part of the body may be missing
+asio::awaitable<beast::error_code> CheckEnd(
+  boost::intrusive_ptr<Sending> aSending)
+{
+  const auto end = ReadStreamEnd(aSending->mConnection->mStream.socket());
+  if (!end.mHalfClosed && !end.mPending && !aSending->mDone) {
+    beast::error_code ec;
+    aSending->mEnded.expires_after(kSendEnds);
+    co_await aSending->mEnded.async_wait(
+      asio::redirect_error(asio::use_awaitable, ec));
+    if (ec && !aSending->mDone) {
+      co_return ec;
+    }
+  }
+  co_return EndedInOrder(end, aSending->mError)
+    ? beast::error_code()
+    : beast::error_code(http::error::partial_message);
+}
+
 Error ErrorOf(const char* aStep, const Endpoint& aEndpoint,
               const beast::error_code& aError)
 {
@@ -431,7 +463,7 @@
   NoteRequest(*connection, aOptions, result);
   CloseGuard guard(connection);
   const bool small = aRequest.mBody.size() <= kSmallBody;
-  boost::intrusive_ptr<Sending> sending(new Sending);
+  boost::intrusive_ptr<Sending> sending(new Sending(mExecutor));
   sending->mHead = RequestHead(aRequest, aEndpoint.Text());
   sending->mBody = std::move(aRequest.mBody);
   sending->mConnection = connection;
@@ -451,8 +483,10 @@
     asio::co_spawn(mExecutor, Send(sending), asio::detached);
   }
   std::optional<ResponseParser> parser;
-  const auto ec =
-    co_await Receive(connection, *pool, head, aOptions, parser, result);
+  auto ec = co_await Receive(connection, *pool, head, aOptions, parser, result);
+  if (!ec && !head && parser->need_eof()) {
+    ec = co_await CheckEnd(sending);
+  }
   if (ec) {
     const bool unsent = sending->mDone && sending->mError;
     result.mTimedOut = ec == beast::error::timeout;
