--- a/tests/unit/load_test.cpp
+++ b/tests/unit/load_test.cpp
@@ -16,7 +16,7 @@
 {
   TargetLoad load;
   load.mOwn = 2;
-  NoteReport(load, { 5, 3, 6 }, 2, kNow);
+  NoteReport(load, { 5, 3, 6, {} }, 2, kNow);
   cr_assert_float_eq(ExpectedLoad(load, kNow), 8, 0.01);
   const double later = ExpectedLoad(load, kNow + 3s);
   cr_assert_lt(later, 4);
