Client: statuses outside 100 to 599 are no answer

Cause: any three digits passed as a status. 600 and 999 of a target went out to callers, who cannot tell what they say of the request.

Change: the parser of responses takes such a status as it takes other malformed heads. Entries and guavalined use the same one: the exchange fails, and the caller gets 502, or another target's answer where the request may be repeated.

--- a/src/http/message_parser.hpp
+++ b/src/http/message_parser.hpp
@@ -42,6 +42,8 @@
 
   /// Memory that a declared length takes before any byte has come.
   static constexpr std::uint64_t kMaxReserved = 1ULL << 20U;
+  static constexpr int kMinStatus = 100;
+  static constexpr int kMaxStatus = 599;
 
   void on_request_impl(boost::beast::http::verb, View aMethod, View aTarget,
                        int, ErrorCode&) override
@@ -51,9 +53,13 @@
     mHeadBytes += aMethod.size() + aTarget.size();
   }
 
-  void on_response_impl(int aCode, View, int, ErrorCode&) override
+  void on_response_impl(int aCode, View, int, ErrorCode& aError) override
   {
     mStatus = static_cast<unsigned>(aCode);
+    // Callers could not tell what another status says of the request.
+    if (aCode < kMinStatus || aCode > kMaxStatus) {
+      aError = boost::beast::http::error::bad_status;
+    }
   }
 
   void on_field_impl(boost::beast::http::field aField, View aName, View aValue,
--- a/tests/unit/client_test.cpp
+++ b/tests/unit/client_test.cpp
@@ -473,3 +473,38 @@
   cr_assert(targets.mLast.mResponse);
   cr_assert_eq(targets.mClient.Buffered(), 0U);
 }
+
+// Guards against answers whose status says nothing: 600 and 999 were passed on.
+Test(client, a_status_outside_100_to_599_is_no_answer, .timeout = 60)
+{
+  for (const auto* it :
+       { "000", "099", "600", "999", "2000", "+20", "2x0", "20", "", "-200" }) {
+    const auto head = "HTTP/1.1 " + std::string(it) + " Any\r\nX-Id: r0\r\n";
+    for (const auto* framing : { "Content-Length: 2\r\n", "" }) {
+      const auto out = Ask(
+        [&](int, const std::string&) -> ScriptedAnswer {
+          return { head + framing + "\r\nok", true };
+        },
+        1);
+      cr_expect_not(
+        out.mResults[0].mResponse, "'%s' passed as %u", it,
+        out.mResults[0].mResponse ? out.mResults[0].mResponse->mStatus : 0);
+      cr_expect_not(out.mResults[0].mTimedOut, "'%s'", it);
+      cr_expect(out.mResults[0].mMayHaveReached, "'%s'", it);
+    }
+  }
+}
+
+Test(client, the_last_status_of_each_kind_is_an_answer, .timeout = 60)
+{
+  for (const auto* it : { "200", "299", "399", "499", "599" }) {
+    const auto out = Ask(
+      [&](int, const std::string&) -> ScriptedAnswer {
+        return { "HTTP/1.1 " + std::string(it) +
+                 " Any\r\nX-Id: r0\r\nContent-Length: 2\r\n\r\nok" };
+      },
+      1);
+    cr_assert(out.mResults[0].mResponse, "%s", it);
+    cr_assert_eq(std::to_string(out.mResults[0].mResponse->mStatus), it);
+  }
+}
--- a/tests/unit/forward_test.cpp
+++ b/tests/unit/forward_test.cpp
@@ -2,6 +2,7 @@
 #include "entry/rate_limits.hpp"
 #include "entry/request_state.hpp"
 
+#include "cutting_target.hpp"
 #include "entry_fixtures.hpp"
 #include "fixtures.hpp"
 #include "scripted_server.hpp"
@@ -664,3 +665,65 @@
   bed.mEntry.mRouting.mRoutes[0].mServices = { { "fast", 1 } };
   cr_assert_eq(bed.Send("800").mStatus, 200U);
 }
+
+namespace {
+
+/// Serves, with a status that says nothing at first.
+tests::Script OddAtFirst(unsigned aStatus, int& aAnswers)
+{
+  return [aStatus, &aAnswers](int, const std::string&) -> ScriptedAnswer {
+    return { Answer(aAnswers++ == 0 ? aStatus : 200, "Proof: p\r\n") };
+  };
+}
+
+} // namespace
+
+// Guards against a status that tells callers nothing: 600 and 999 were passed
+// on.
+Test(forward, a_status_that_says_nothing_is_not_passed_on)
+{
+  for (const unsigned status : { 600U, 999U }) {
+    int answers = 0;
+    Bed once(RequestKind::NonIdempotent);
+    once.Add(OddAtFirst(status, answers));
+    cr_assert_eq(once.Send().mStatus, 502U, "%u", status);
+    cr_assert_eq(once.Runs(), 1);
+    answers = 0;
+    Bed again(RequestKind::Idempotent);
+    again.Add(OddAtFirst(status, answers));
+    again.Add(OddAtFirst(status, answers));
+    cr_assert_eq(again.Send().mStatus, 200U, "%u", status);
+    cr_assert_eq(again.Runs(), 2);
+  }
+}
+
+// Guards against a part of an answer that passes as the whole of it, where the
+// upload is still being sent as the target resets the connection.
+Test(forward, an_answer_cut_by_a_reset_during_an_upload_is_not_passed_on,
+     .timeout = 60)
+{
+  constexpr int kTimes = 20;
+  Bed bed(RequestKind::NonIdempotent);
+  tests::CuttingTarget target(bed.mContext, [](int n) {
+    tests::CutPlan out;
+    out.mBodyBytes = 1'000;
+    out.mDelay = Millis(n);
+    out.mFields = "Proof: p\r\n";
+    return out;
+  });
+  for (int n = 0; n < kTimes; ++n) {
+    // A target that fails is left alone for a while.
+    bed.Register("t" + std::to_string(n),
+                 "127.0.0.1:" + std::to_string(target.Port()));
+    bed.mEntry.mCrashTable = {};
+    HttpRequest request;
+    request.mMethod = "POST";
+    request.mTarget = "/x/" + std::to_string(n);
+    request.mHeaders = { { "Host", "a.example" },
+                         { "Id", "q" + std::to_string(n) } };
+    request.mBody = std::string(400'000, 'u');
+    const auto out =
+      tests::Forward(bed.mContext, bed.mEntry, std::move(request));
+    cr_assert_eq(out.mStatus, 502U, "%d: %u", n, out.mStatus);
+  }
+}
--- a/tests/unit/named_exchanges_test.cpp
+++ b/tests/unit/named_exchanges_test.cpp
@@ -154,3 +154,17 @@
   cr_assert(bed.Health().mReachable);
   cr_assert_not(bed.Health().mLeaving);
 }
+
+// Guards against a status that tells callers nothing: 600 and 999 were passed
+// on.
+Test(named_exchanges, a_status_that_says_nothing_is_no_answer)
+{
+  for (const unsigned status : { 600U, 999U }) {
+    Bed bed([&](int, const std::string& aHead) -> ScriptedAnswer {
+      return { Answer(status, NameIn(aHead), "own") };
+    });
+    const auto out = bed.Send(1);
+    cr_assert_not(out[0].mResponse, "%u", status);
+    cr_assert(out[0].mMayHaveReached);
+  }
+}
