Server: answers that callers do not read have a bound

Cause: an answer left the count of buffered bytes once it was read from its target. While its caller did not read it, nothing bounded it but the number of connections, and the system held up to 4 MB more for each.

Change: a server counts the answers that it is sending. Where a further one would pass the bound, those that have been under way longest are reset until it fits; one that is larger than the bound goes out alone. At an entry the bound is an eighth of limits.memory_mb. The system holds 128 KiB of unsent bytes for a connection, and gives up on a caller that acknowledges nothing for the time to send (15 s, as before, now a limit of its own).

No test covers the bounds on what the system holds.

--- a/src/entry/limits.cpp
+++ b/src/entry/limits.cpp
@@ -8,6 +8,8 @@
 /// One part in this many of the process's memory holds bodies of requests in
 /// flight, and another one bodies of answers.
 constexpr std::uint64_t kBodyMemoryPart = 4;
+/// One part in this many holds answers that callers have yet to take.
+constexpr std::uint64_t kUnsentMemoryPart = 8;
 constexpr std::uint64_t kMegabyte = 1ULL << 20U;
 
 } // namespace
@@ -21,6 +23,7 @@
                           ? descriptors - kOtherDescriptors
                           : descriptors / 2;
   out.mMaxBufferedBytes = aProcess.mMemoryMb * kMegabyte / kBodyMemoryPart;
+  out.mMaxUnsentBytes = aProcess.mMemoryMb * kMegabyte / kUnsentMemoryPart;
   out.mMaxHeaderBytes = aCallers.mMaxHeaderBytes;
   out.mMaxBodyBytes = aCallers.mMaxBodyBytes;
   out.mHeaderTimeout = aCallers.mHeaderTimeout;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -19,6 +19,8 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/json.hpp>
 
+#include <netinet/tcp.h>
+
 #include <array>
 
 namespace guavaline::detail {
@@ -38,8 +40,17 @@
 constexpr std::size_t kMaxUnparsedBeyondHeader = 65'536;
 /// A read buffer that has grown larger is given back after its request.
 constexpr std::size_t kMaxKeptBuffer = 65'536;
+/// What the system holds of an answer that its caller has no room for. Without
+/// this bound it takes several megabytes a connection.
+constexpr int kMaxUnsentInSystem = 131'072;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+using UnsentInSystem =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
+
+using UserTimeout =
+  asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 unsigned StatusFor(const beast::error_code& aError)
 {
   if (aError == http::error::header_limit ||
@@ -129,10 +140,23 @@
 {
 public:
   HttpConnection(tcp::socket aSocket, boost::intrusive_ptr<HttpServerState> a);
+  ~HttpConnection();
+  HttpConnection(const HttpConnection&) = delete;
+  HttpConnection& operator=(const HttpConnection&) = delete;
+  HttpConnection(HttpConnection&&) = delete;
+  HttpConnection& operator=(HttpConnection&&) = delete;
 
   asio::awaitable<void> Run();
   void CloseIfIdle();
   void Cut();
+  /// Ends an answer that its caller does not take.
+  void Abandon(const char* aReason);
+
+  [[nodiscard]] std::uint64_t Unsent() const noexcept { return mUnsent; }
+  [[nodiscard]] TimePoint AnswerStarted() const noexcept
+  {
+    return mAnswerStarted;
+  }
 
 private:
   using RequestParser = MessageParser<true>;
@@ -146,6 +170,8 @@
   asio::awaitable<bool> AnswerRequest(RequestParser& aParser);
   asio::awaitable<void> Answer(HttpResponse aResponse, bool aKeepAlive,
                                bool aHead);
+  void StartAnswer(std::uint64_t aBytes);
+  void EndAnswer() noexcept;
   asio::awaitable<HttpResponse> Handle(HttpRequest aRequest);
   asio::awaitable<void> UntilCallerLeaves();
 
@@ -154,7 +180,9 @@
   boost::intrusive_ptr<HttpServerState> mServer;
   bool mBusy = false;
   std::uint64_t mId = 0;
-  TimePoint mArrived{}; ///< When the present request's header was read.
+  TimePoint mArrived{};      ///< When the present request's header was read.
+  std::uint64_t mUnsent = 0; ///< Bytes of the answer that is being sent.
+  TimePoint mAnswerStarted{};
 };
 
 class HttpServerState : public boost::intrusive_ref_counter<HttpServerState>
@@ -174,6 +202,25 @@
     mBuffered.mMost = aLimits.mMaxBufferedBytes;
   }
 
+  /// Makes room for an answer. Those that have been under way longest give way:
+  /// their callers read slowest, and others do not wait for them.
+  void MakeRoom(std::uint64_t aBytes)
+  {
+    while (mUnsent > 0 && mUnsent + aBytes > mLimits.mMaxUnsentBytes) {
+      HttpConnection* oldest = nullptr;
+      for (auto& it : mConnections) {
+        if (it.Unsent() > 0 &&
+            (!oldest || it.AnswerStarted() < oldest->AnswerStarted())) {
+          oldest = &it;
+        }
+      }
+      if (!oldest) {
+        return;
+      }
+      oldest->Abandon("no_room");
+    }
+  }
+
   tcp::acceptor mAcceptor;
   HttpHandler mHandler;
   HttpServerLimits mLimits;
@@ -182,7 +229,8 @@
     mConnections;
   std::size_t mOpen = 0;
   std::size_t mInFlight = 0;
-  BufferedBytes mBuffered; ///< Requests that are being read or answered.
+  BufferedBytes mBuffered;   ///< Requests that are being read or answered.
+  std::uint64_t mUnsent = 0; ///< Of answers that are being sent.
   std::uint64_t mLastId = 0;
   bool mDraining = false;
 };
@@ -195,6 +243,11 @@
   mId = ++mServer->mLastId;
 }
 
+HttpConnection::~HttpConnection()
+{
+  EndAnswer();
+}
+
 void HttpConnection::CloseIfIdle()
 {
   if (!mBusy) {
@@ -209,6 +262,35 @@
   mStream.close();
 }
 
+void HttpConnection::Abandon(const char* aReason)
+{
+  LogBounded(LogClass::Failure, LogLevel::Info, "answer_not_taken",
+             { { "reason", aReason },
+               { "connection", std::to_string(mId) },
+               { "bytes", std::to_string(mUnsent) },
+               { "ms", MillisText(std::chrono::duration_cast<Millis>(
+                         Clock::now() - mAnswerStarted)) } });
+  EndAnswer();
+  // A mere close leaves the system with what is unsent.
+  beast::error_code ec;
+  mStream.socket().set_option(asio::socket_base::linger(true, 0), ec);
+  mStream.close();
+}
+
+void HttpConnection::StartAnswer(std::uint64_t aBytes)
+{
+  mServer->MakeRoom(aBytes);
+  mUnsent = aBytes;
+  mServer->mUnsent += aBytes;
+  mAnswerStarted = Clock::now();
+}
+
+void HttpConnection::EndAnswer() noexcept
+{
+  mServer->mUnsent -= mUnsent;
+  mUnsent = 0;
+}
+
 asio::awaitable<void> HttpConnection::Run()
 {
   bool more = true;
@@ -262,13 +344,17 @@
     asio::buffer(head),
     bodiless ? asio::const_buffer() : asio::buffer(aResponse.mBody)
   };
+  StartAnswer(asio::buffer_size(parts));
   beast::error_code ec;
-  mStream.expires_after(mServer->mLimits.mReceiveTimeout);
+  mStream.expires_after(mServer->mLimits.mSendTimeout);
   co_await asio::async_write(mStream, parts,
                              asio::redirect_error(asio::use_awaitable, ec));
-  if (ec) {
+  if (ec == beast::error::timeout) {
+    Abandon("timeout");
+  } else if (ec) {
     Cut();
   }
+  EndAnswer();
 }
 
 asio::awaitable<bool> HttpConnection::AwaitBytes()
@@ -405,6 +491,10 @@
       continue;
     }
     socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(UnsentInSystem(kMaxUnsentInSystem), ec);
+    // Also ends what the system still holds of an answer after the close.
+    socket.set_option(
+      UserTimeout(static_cast<int>(aServer->mLimits.mSendTimeout.count())), ec);
     const auto executor = socket.get_executor();
     boost::intrusive_ptr<HttpConnection> connection(
       new HttpConnection(std::move(socket), aServer));
@@ -485,6 +575,11 @@
   }
 }
 
+std::uint64_t HttpServer::Unsent() const noexcept
+{
+  return mState ? mState->mUnsent : 0;
+}
+
 std::size_t HttpServer::InFlight() const noexcept
 {
   return mState ? mState->mInFlight : 0;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -24,10 +24,13 @@
   std::uint32_t mMaxHeaderBytes = 16'384;
   std::uint64_t mMaxBodyBytes = 8ULL << 20U;
   std::uint64_t mMaxBufferedBytes = 128ULL << 20U; ///< All bodies at once.
+  /// Answers that callers have yet to take, all at once.
+  std::uint64_t mMaxUnsentBytes = 64ULL << 20U;
   std::size_t mMaxConnections = 8'192;
   Millis mIdleTimeout{ 60'000 };    ///< Between requests.
   Millis mHeaderTimeout{ 15'000 };  ///< From first byte to whole header.
   Millis mReceiveTimeout{ 15'000 }; ///< From whole header to whole request.
+  Millis mSendTimeout{ 15'000 };    ///< From an answer's start to its end.
 };
 
 class HttpServerState;
@@ -68,6 +71,8 @@
   void Close();
   /// @returns requests that are being answered
   [[nodiscard]] std::size_t InFlight() const noexcept;
+  /// @returns bytes of answers that callers have yet to take
+  [[nodiscard]] std::uint64_t Unsent() const noexcept;
 
 private:
   boost::intrusive_ptr<HttpServerState> mState;
--- a/tests/unit/entry_limits_test.cpp
+++ b/tests/unit/entry_limits_test.cpp
@@ -19,6 +19,7 @@
   const auto out = LimitsFor(process, callers);
   cr_assert_eq(out.mMaxConnections, 3'100U);
   cr_assert_eq(out.mMaxBufferedBytes, 40ULL << 20U);
+  cr_assert_eq(out.mMaxUnsentBytes, 20ULL << 20U);
   cr_assert_eq(out.mMaxHeaderBytes, 9'000U);
   cr_assert_eq(out.mMaxBodyBytes, 1'000'000U);
   cr_assert(out.mHeaderTimeout == 3s);
