--- a/tests/unit/slow_readers_test.cpp
+++ b/tests/unit/slow_readers_test.cpp
@@ -59,10 +59,11 @@
 
   void Run(std::function<asio::awaitable<void>()> aTask)
   {
-    asio::co_spawn(mContext, std::move(aTask), [this](std::exception_ptr a) {
-      cr_assert_not(a);
-      mContext.stop();
-    });
+    asio::co_spawn(mContext, std::move(aTask),
+                   [this](const std::exception_ptr& a) {
+                     cr_assert_not(a);
+                     mContext.stop();
+                   });
     mContext.run();
   }
 
