Command: guavaline where

Operators could tell from logs where a request went, and not where one would go. `guavaline where` asks the metrics port of an entry (/where), which prints route, account, service, candidates in the order of choice with their load, and the choice or the reason of a rejection.

The handler chooses as a request does, by the same Choose, with copies of what a request would change. Choose no longer adds empty records of routes. What depends on a request's method and body is not looked at, nor is the account's bucket.

--- a/apps/guavaline.cpp
+++ b/apps/guavaline.cpp
@@ -2,6 +2,7 @@
 
 #include "operator/commands.hpp"
 #include "operator/interview.hpp"
+#include "operator/where.hpp"
 
 #include <CLI/CLI.hpp>
 
@@ -29,6 +30,7 @@
   std::string mBy;
   std::string mUntil;
   std::vector<std::string> mLogs;
+  WhereQuestion mWhere;
 };
 
 using Command = std::function<leaf::result<ExitCode>()>;
@@ -264,6 +266,25 @@
   });
 }
 
+void AddWhere(CLI::App& aApp, Arguments& aArguments, Command& aCommand)
+{
+  auto& question = aArguments.mWhere;
+  auto* where = aApp.add_subcommand(
+    "where", "Ask an entry where a request would go now, without sending it");
+  where->add_option("--entry", question.mEntry, "IP:PORT of its metrics")
+    ->required();
+  where->add_option("--host", question.mHost, "Host name of the request")
+    ->required();
+  where->add_option("--path", question.mPath, "Path of the request")
+    ->required();
+  where->add_option("--object", question.mObject, "Object of its cookie");
+  where->add_option("--account", question.mAccount, "Name of the account");
+  where->add_option("--limit-ms", question.mLimitMs, "Its time limit");
+  where->callback([&question, &aCommand] {
+    aCommand = [&question] { return WhereCommand(question, std::cout); };
+  });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -286,6 +307,7 @@
   AddFiles(app, arguments, command);
   AddFleet(app, arguments, command);
   AddDrains(app, arguments, command);
+  AddWhere(app, arguments, command);
   CLI11_PARSE(app, argc, argv);
   return Report(command);
 }
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -121,6 +121,14 @@
 boost::asio::awaitable<HttpResponse> AnswerMetrics(Entry& aEntry,
                                                    HttpRequest aRequest);
 
+/// Says where a request would go now and why, without sending anything or
+/// changing what the entry knows.
+/// @param aRequest  "host", "path", and where there are any "object", "account"
+///                  and "limit_ms" in its query
+[[nodiscard]] HttpResponse AnswerWhere(Entry& aEntry,
+                                       const HttpRequest& aRequest,
+                                       TimePoint aNow);
+
 /// Keeps the view of one kind of object; runs until the process ends.
 boost::asio::awaitable<void> FollowObjects(Entry& aEntry, ObjectKind aKind);
 
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -57,13 +57,26 @@
   return { rate, bounds.mColdOver, bounds.mColdSlack };
 }
 
+const RunTimes& RunTimesOf(const Entry& aEntry, const RequestState& aState)
+{
+  static const RunTimes kNone;
+  const auto route = aEntry.mRoutes.find(aState.mRoute.mName);
+  if (route == aEntry.mRoutes.end()) {
+    return kNone;
+  }
+  const auto it = route->second.mRunTimes.find(aState.mService);
+  return it == route->second.mRunTimes.end() ? kNone : it->second;
+}
+
+} // namespace
+
 void Choose(Entry& aEntry, RequestState& aState, TimePoint aNow)
 {
   const PlacementView view{
     aEntry.mRegistry,
     aEntry.mTrips,
     aEntry.mWarm,
-    aEntry.mRoutes[aState.mRoute.mName].mRunTimes[aState.mService],
+    RunTimesOf(aEntry, aState),
     ColdBoundOf(aEntry, aState.mService),
     SharingEntries(aEntry.mRoster),
     CountSending(aEntry.mRoster, aNow),
@@ -78,7 +91,7 @@
   aState.mChoice = ChooseOwner(view, request, aNow);
 }
 
-const char* NameOf(PlacementRefusal aRefusal)
+const char* NameOf(PlacementRefusal aRefusal) noexcept
 {
   switch (aRefusal) {
     case PlacementRefusal::NoTarget:
@@ -99,6 +112,8 @@
   return "";
 }
 
+namespace {
+
 /// The last answer of a request whose sends all failed.
 struct LastWord
 {
--- a/src/entry/lookups.cpp
+++ b/src/entry/lookups.cpp
@@ -64,8 +64,11 @@
   co_return IsReady(aEntry) ? Plain(200, "ready\n") : Plain(503, "starting\n");
 }
 
-asio::awaitable<HttpResponse> AnswerMetrics(Entry& aEntry, HttpRequest)
+asio::awaitable<HttpResponse> AnswerMetrics(Entry& aEntry, HttpRequest aRequest)
 {
+  if (PathOf(aRequest.mTarget) == "/where") {
+    co_return AnswerWhere(aEntry, aRequest, Clock::now());
+  }
   co_return Plain(200, aEntry.mMetrics.Text());
 }
 
--- a/src/entry/request_state.hpp
+++ b/src/entry/request_state.hpp
@@ -51,6 +51,12 @@
 void NoteEnd(Entry& aEntry, const RequestState& aState, unsigned aStatus,
              const char* aReason, TimePoint aNow);
 
+/// Chooses a target for the request, and changes nothing else.
+void Choose(Entry& aEntry, RequestState& aState, TimePoint aNow);
+
+/// @returns a refusal's name in logs; empty for none
+[[nodiscard]] const char* NameOf(PlacementRefusal aRefusal) noexcept;
+
 /// Sends the request to the target that was chosen, and learns from how that
 /// goes.
 boost::asio::awaitable<SendOutcome> SendOnce(Entry& aEntry,
