--- a/tests/unit/cut_answers_test.cpp
+++ b/tests/unit/cut_answers_test.cpp
@@ -114,13 +114,22 @@
   const boost::system::error_code cut = asio::error::connection_reset;
   const boost::system::error_code closed = asio::error::broken_pipe;
   const boost::system::error_code silent = asio::error::timed_out;
-  cr_assert(EndedInOrder({ true, none }, none));
-  cr_assert(EndedInOrder({ true, none }, silent));
-  cr_assert(EndedInOrder({ false, closed }, none));
-  cr_assert(EndedInOrder({ false, none }, closed));
-  cr_assert_not(EndedInOrder({ false, none }, none));
-  cr_assert_not(EndedInOrder({ false, cut }, none));
-  cr_assert_not(EndedInOrder({ false, none }, cut));
-  cr_assert_not(EndedInOrder({ false, silent }, closed));
-  cr_assert_not(EndedInOrder({ false, none }, silent));
+  cr_assert(EndedInOrder({ true, true, none }, none));
+  cr_assert(EndedInOrder({ true, true, none }, silent));
+  cr_assert(EndedInOrder({ false, true, closed }, none));
+  cr_assert(EndedInOrder({ false, true, none }, closed));
+  cr_assert_not(EndedInOrder({ false, true, none }, none));
+  cr_assert_not(EndedInOrder({ false, true, cut }, none));
+  cr_assert_not(EndedInOrder({ false, true, none }, cut));
+  cr_assert_not(EndedInOrder({ false, true, silent }, closed));
+  cr_assert_not(EndedInOrder({ false, true, none }, silent));
+}
+
+Test(cut_answers, without_connection_states_only_errors_show_a_cut)
+{
+  const boost::system::error_code none;
+  const boost::system::error_code cut = asio::error::connection_reset;
+  cr_assert(EndedInOrder({ false, false, none }, none));
+  cr_assert_not(EndedInOrder({ false, false, cut }, none));
+  cr_assert_not(EndedInOrder({ false, false, none }, cut));
 }
