Round ages of views up; tests of confirmations that are passed round

An age cut to whole milliseconds still moved a confirmation later by up to 1 ms at each entry that passed it on.

--- a/src/entry/relay.cpp
+++ b/src/entry/relay.cpp
@@ -43,7 +43,9 @@
 
 ViewNews NewsOf(ObjectKind aKind, const ObjectView& aView, TimePoint aNow)
 {
-  const auto age = std::chrono::duration_cast<Millis>(aNow - aView.mConfirmed);
+  // Rounded up: an age that is told too low makes the view of the receiver
+  // count as confirmed later than it was.
+  const auto age = std::chrono::ceil<Millis>(aNow - aView.mConfirmed);
   return { aKind, aView.mRevision, std::clamp(age, Millis(0), kMaxAge),
            TellEpoch(aView) };
 }
--- a/tests/unit/relay_test.cpp
+++ b/tests/unit/relay_test.cpp
@@ -197,3 +197,33 @@
   news.mRates = { 1, 2 };
   cr_assert_not(UnpackNews(bed.mEntry.mRoster, news));
 }
+
+// Entries that pass a confirmation round must not make it later, or views that
+// the store no longer confirms count as current for too long.
+Test(relay, a_confirmation_that_is_passed_round_does_not_become_later)
+{
+  Bed second("e2");
+  Bed first("e1");
+  const auto confirmed = first.State().mView.mConfirmed;
+  auto now = confirmed;
+  for (int n = 0; n < 50; ++n) {
+    now += 10'700us;
+    (void)HearViews(second.mEntry, TellViews(first.mEntry, now), now);
+    now += 10'700us;
+    (void)HearViews(first.mEntry, TellViews(second.mEntry, now), now);
+  }
+  cr_assert_leq(first.State().mView.mConfirmed, confirmed);
+  cr_assert_leq(second.State().mView.mConfirmed, confirmed);
+}
+
+Test(relay, a_push_confirms_no_later_than_it_was_told)
+{
+  Bed source("e1");
+  Bed follower("e2");
+  follower.State().mView.mConfirmed = TimePoint{};
+  source.Change("e7", 12, 100);
+  const auto answer = source.Answer(10);
+  const auto told = Clock::now();
+  TakePush(follower.mEntry, answer);
+  cr_assert_leq(follower.State().mView.mConfirmed, told);
+}
