--- a/src/entry/lookups.cpp
+++ b/src/entry/lookups.cpp
@@ -13,15 +13,6 @@
 /// How long callers keep an answer. Entries come and go within seconds.
 constexpr Millis kLookupTtl{ 2'000 };
 
-HttpResponse Plain(unsigned aStatus, std::string aBody)
-{
-  HttpResponse out;
-  out.mStatus = aStatus;
-  out.mHeaders = { { "Content-Type", "text/plain" } };
-  out.mBody = std::move(aBody);
-  return out;
-}
-
 } // namespace
 
 bool IsReady(const Entry& aEntry)
@@ -38,19 +29,19 @@
 {
   const auto question = aEntry.mPlatform.mReadLookup(aRequest);
   if (!question) {
-    co_return Plain(404, "no such page\n");
+    co_return TextResponse(404, "no such page\n");
   }
   // A started entry would name itself alone, and cannot serve yet: callers
   // turn to another entry for their look-up.
   const auto records = aEntry.mFollows.find(ObjectKind::Entries);
   if (!IsReady(aEntry) || records == aEntry.mFollows.end() ||
       !records->second.mView.mListed) {
-    co_return Plain(503, "starting\n");
+    co_return TextResponse(503, "starting\n");
   }
   auto entries = EntriesFor(aEntry.mRoster, question->mRegion, Clock::now());
   aEntry.mMetrics.Count("lookups", "region=\"" + question->mRegion + "\"");
   if (entries.empty()) {
-    co_return Plain(503, "no entry is known\n");
+    co_return TextResponse(503, "no entry is known\n");
   }
   co_return aEntry.mPlatform.mWriteLookup(
     entries, std::min(kLookupTtl, aEntry.mSettings.mBounds.mLookupTtlMost));
@@ -59,9 +50,10 @@
 asio::awaitable<HttpResponse> AnswerReady(Entry& aEntry, HttpRequest)
 {
   if (aEntry.mStopping) {
-    co_return Plain(503, "stopping\n");
+    co_return TextResponse(503, "stopping\n");
   }
-  co_return IsReady(aEntry) ? Plain(200, "ready\n") : Plain(503, "starting\n");
+  co_return IsReady(aEntry) ? TextResponse(200, "ready\n")
+                            : TextResponse(503, "starting\n");
 }
 
 asio::awaitable<HttpResponse> AnswerMetrics(Entry& aEntry, HttpRequest aRequest)
@@ -69,7 +61,7 @@
   if (PathOf(aRequest.mTarget) == "/where") {
     co_return AnswerWhere(aEntry, aRequest, Clock::now());
   }
-  co_return Plain(200, aEntry.mMetrics.Text());
+  co_return TextResponse(200, aEntry.mMetrics.Text());
 }
 
 } // namespace guavaline::detail
--- a/src/entry/where.cpp
+++ b/src/entry/where.cpp
@@ -18,15 +18,6 @@
 constexpr std::size_t kMaxCandidates = 8;
 constexpr Millis kDefaultLimit{ 10'000 };
 
-HttpResponse Text(unsigned aStatus, std::string aBody)
-{
-  HttpResponse out;
-  out.mStatus = aStatus;
-  out.mHeaders = { { "Content-Type", "text/plain" } };
-  out.mBody = std::move(aBody);
-  return out;
-}
-
 const char* NameOf(Warmth aWarmth) noexcept
 {
   switch (aWarmth) {
@@ -199,7 +190,7 @@
   const auto limitText = query("limit_ms");
   const auto given = ParseMillis(limitText);
   if (host.empty() || path.empty() || (!limitText.empty() && !given)) {
-    return Text(400, "needs host and path; limit_ms is a number\n");
+    return TextResponse(400, "needs host and path; limit_ms is a number\n");
   }
   std::ostringstream out;
   out << "entry: " << aEntry.mSettings.mName << ", region "
@@ -207,7 +198,7 @@
       << aEntry.mRouting.mVersion << '\n';
   const auto reject = [&](const char* aReason) {
     out << "rejected: " << aReason << '\n';
-    return Text(200, out.str());
+    return TextResponse(200, out.str());
   };
   if (!IsReady(aEntry)) {
     return reject("not_ready");
@@ -254,7 +245,7 @@
       << ", time limit " << Ms(limit) << '\n';
   WriteOthers(aEntry, state, out, aNow);
   WriteChoice(aEntry, state, out, aNow);
-  return Text(200, out.str());
+  return TextResponse(200, out.str());
 }
 
 } // namespace guavaline::detail
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -111,6 +111,15 @@
   return out;
 }
 
+HttpResponse TextResponse(unsigned aStatus, std::string aBody)
+{
+  HttpResponse out;
+  out.mStatus = aStatus;
+  out.mHeaders = { { "Content-Type", "text/plain" } };
+  out.mBody = std::move(aBody);
+  return out;
+}
+
 HttpResponse JsonResponse(unsigned aStatus, std::string aBody)
 {
   return { aStatus,
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -52,6 +52,9 @@
 /// Percent-encodes a query value.
 [[nodiscard]] std::string EncodeParameter(std::string_view aText);
 
+/// @returns an answer of plain text
+[[nodiscard]] HttpResponse TextResponse(unsigned aStatus, std::string aBody);
+
 /// Makes a response with a JSON body.
 [[nodiscard]] HttpResponse JsonResponse(unsigned aStatus, std::string aBody);
 
