--- a/src/admission/account_limits.cpp
+++ b/src/admission/account_limits.cpp
@@ -179,10 +179,9 @@
          extra / CountEntries(aLimits);
 }
 
-/// @returns requests in a window from which on tokens do not help: buckets of
-/// at
-///          least one request at many entries are more than a small account's
-///          burst
+/// Buckets of at least one request each come to more than a small account's
+/// burst where entries are many, so that tokens do not help without end.
+/// @returns requests in a window from which on tokens do not help
 double RefusedFrom(const AccountLimits& aLimits, const AccountUse& aUse,
                    TimePoint aNow)
 {
